--- /dev/null
+++ b/internal/driftcheck/promise.go
@@ -0,0 +1,100 @@
+package driftcheck
+
+import (
+	"slices"
+	"time"
+)
+
+// OneSnapshot asserts that a merged reply has the version that the answer is
+// pinned to.
+func (c *Checker) OneSnapshot(request string, pinned, merged uint64) {
+	if pinned != merged {
+		c.violate(Snapshot, request, "merged version %d into an answer of version %d", merged, pinned)
+	}
+}
+
+// TrueCoverage asserts that the depots that an answer calls searched are
+// those whose replies were merged, each once, and that searched and missing
+// make up the depots that were asked for.
+func (c *Checker) TrueCoverage(request string, asked, searched, missing, merged []string) {
+	if !sameDepots(searched, merged) {
+		c.violate(Coverage, request, "states %d depots searched, merged %d", len(searched), len(merged))
+	}
+	stated := slices.Concat(searched, missing)
+	if !sameDepots(stated, asked) {
+		c.violate(Coverage, request, "states %d depots, asked for %d", len(stated), len(asked))
+	}
+}
+
+func sameDepots(a, b []string) bool {
+	x, y := slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b))
+	return slices.Equal(x, y)
+}
+
+// ColdLimit asserts that a cold upstream has no more requests in flight than
+// its limit, and no more than one when its warm-up has just begun.
+func (c *Checker) ColdLimit(request, upstream string, flight, limit int) {
+	if flight > limit {
+		c.violate(Cold, request, "cold upstream %s has %d in flight, limit %d", upstream, flight, limit)
+	}
+}
+
+// NotOut asserts that no new work goes to a failure domain or VM longer than
+// OutGrace after the mark was seen. A zero mark means that it is in.
+func (c *Checker) NotOut(request, subject string, marked, now time.Time) {
+	if !marked.IsZero() && now.Sub(marked) > OutGrace {
+		c.violate(Out, request, "new work at %s, out for %s", subject, now.Sub(marked))
+	}
+}
+
+// OwnWhole asserts that a merged reply answers this very attempt and holds
+// as many rows as the upstream announced.
+func (c *Checker) OwnWhole(request, attempt, echoed string, rows, announced int) {
+	if attempt != echoed {
+		c.violate(Whole, request, "merged the reply to %s as that to %s", echoed, attempt)
+	}
+	if rows != announced {
+		c.violate(Whole, request, "merged %d rows of %d", rows, announced)
+	}
+}
+
+// TrulyNotRun asserts that no attempt of a request that is refused as "not
+// run" may have run.
+func (c *Checker) TrulyNotRun(request string, ran bool) {
+	if ran {
+		c.violate(NotRun, request, "refused as not run after an attempt that may have run")
+	}
+}
+
+// AtMostOnce asserts that a request that is not idempotent is dispatched by
+// this process no more than once within the memory of its deadline.
+func (c *Checker) AtMostOnce(request string, deadline, now time.Time) {
+	c.mu.Lock()
+	seen := c.once.seen(request, deadline, now)
+	c.mu.Unlock()
+	if seen {
+		c.violate(Once, request, "dispatched more than once")
+	}
+}
+
+// NotLeaving asserts that no new work goes to an upstream longer than
+// OutGrace after the first sign that it leaves. A zero sign means none.
+func (c *Checker) NotLeaving(request, upstream string, sign, now time.Time) {
+	if !sign.IsZero() && now.Sub(sign) > OutGrace {
+		c.violate(Leaving, request, "new work at %s, leaving for %s", upstream, now.Sub(sign))
+	}
+}
+
+// NothingCutOff asserts that a graceful shutdown ends with nothing in flight.
+func (c *Checker) NothingCutOff(flight int) {
+	if flight > 0 {
+		c.violate(Graceful, "", "stopped with %d requests in flight", flight)
+	}
+}
+
+// Forward asserts that the revision in force for a key only grows.
+func (c *Checker) Forward(key string, held, next uint64) {
+	if next < held {
+		c.violate(Config, "", "%s went back from revision %d to %d", key, held, next)
+	}
+}
--- /dev/null
+++ b/internal/driftdocument/document.go
@@ -0,0 +1,246 @@
+// Package driftdocument reads the documents that operators and the platform
+// publish in the configuration service: the failure domains, the classes of
+// work, the marks, and for each service its upstreams and index versions.
+//
+// A document is refused whole when any part of it is invalid; the error
+// names the document, the field, the value and what is allowed.
+//
+// # Usage
+//
+//	doc, err := driftdocument.Parse("classes", body)
+//	switch d := doc.(type) {
+//	case driftdocument.Classes:
+//		use(d.Classes)
+//	}
+package driftdocument
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/juju/errors"
+)
+
+// Keys of the configuration service. A service's keys end in its name.
+const (
+	KeyDomains         = "domains"
+	KeyClasses         = "classes"
+	KeyMarks           = "marks"
+	KeyUpstreamsPrefix = "upstreams/"
+	KeyVersionsPrefix  = "versions/"
+)
+
+// Document is one of Domains, Classes, Marks, Upstreams and Versions.
+type Document interface {
+	document()
+}
+
+// Domain is a published failure domain.
+type Domain struct {
+	Name   string `json:"name" validate:"required,max=64"`
+	Region string `json:"region" validate:"max=64"`
+}
+
+// Domains is the document under KeyDomains.
+type Domains struct {
+	Domains []Domain `json:"domains" validate:"required,unique=Name,dive"`
+}
+
+// Class is a published class of work. Fast is a duration such as "40ms".
+type Class struct {
+	Name    string   `json:"name" validate:"required,max=64"`
+	Service string   `json:"service" validate:"required,max=64"`
+	Fast    Duration `json:"fast" validate:"required,min=1ms,max=10m"`
+	Whole   float64  `json:"whole" validate:"min=0,max=1"`
+	Once    bool     `json:"once"`
+}
+
+// Classes is the document under KeyClasses.
+type Classes struct {
+	Classes []Class `json:"classes" validate:"required,unique=Name,dive"`
+}
+
+// Marks is the document under KeyMarks: what is out of service.
+type Marks struct {
+	Domains []string `json:"domains" validate:"unique,dive,required,max=64"`
+	VMs     []string `json:"vms" validate:"unique,dive,required,max=64"`
+}
+
+// Upstream is a published upstream. Opening is a duration such as "6ms".
+type Upstream struct {
+	Name        string   `json:"name" validate:"required,max=128"`
+	Domain      string   `json:"domain" validate:"required,max=64"`
+	Address     string   `json:"address" validate:"required,ipport"`
+	Slots       int      `json:"slots" validate:"min=1,max=10000"`
+	Connections int      `json:"connections" validate:"min=1,max=100000"`
+	Opening     Duration `json:"opening" validate:"min=0s,max=1m"`
+	Leaving     bool     `json:"leaving"`
+}
+
+// Upstreams is the document under KeyUpstreamsPrefix and a service's name.
+type Upstreams struct {
+	Service   string     `json:"-"`
+	Upstreams []Upstream `json:"upstreams" validate:"unique=Name,dive"`
+}
+
+// Shard is one shard of a published version.
+type Shard struct {
+	Name      string   `json:"name" validate:"required,max=128"`
+	Depots    []string `json:"depots" validate:"unique,dive,required,max=128"`
+	Upstreams []string `json:"upstreams" validate:"unique,dive,required,max=128"`
+}
+
+// Version is one published index version.
+type Version struct {
+	Number uint64  `json:"number" validate:"min=1"`
+	Shards []Shard `json:"shards" validate:"required,unique=Name,dive"`
+}
+
+// Versions is the document under KeyVersionsPrefix and a service's name.
+type Versions struct {
+	Service  string    `json:"-"`
+	Versions []Version `json:"versions" validate:"required,unique=Number,dive"`
+}
+
+func (Domains) document()   {}
+func (Classes) document()   {}
+func (Marks) document()     {}
+func (Upstreams) document() {}
+func (Versions) document()  {}
+
+// Duration is a time.Duration that JSON writes as "40ms".
+type Duration time.Duration
+
+// UnmarshalJSON reads a duration such as "40ms".
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return fmt.Errorf("duration %s is not a string such as \"40ms\"", data)
+	}
+	value, err := time.ParseDuration(text)
+	if err != nil {
+		return fmt.Errorf("duration %q is not like \"40ms\"", text)
+	}
+	*d = Duration(value)
+	return nil
+}
+
+// MarshalJSON writes a duration such as "40ms".
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// Parse reads and validates the document under the given key. The error
+// satisfies errors.Is(err, errors.NotValid), or errors.NotFound for a key
+// that has no document.
+func Parse(key string, body []byte) (doc Document, err error) {
+	defer errors.DeferredAnnotatef(&err, "document %q", key)
+	switch {
+	case key == KeyDomains:
+		return parse[Domains](body)
+	case key == KeyClasses:
+		return parse[Classes](body)
+	case key == KeyMarks:
+		return parse[Marks](body)
+	case strings.HasPrefix(key, KeyUpstreamsPrefix):
+		d, err := parse[Upstreams](body)
+		d.Service = strings.TrimPrefix(key, KeyUpstreamsPrefix)
+		return d, err
+	case strings.HasPrefix(key, KeyVersionsPrefix):
+		return parseVersions(strings.TrimPrefix(key, KeyVersionsPrefix), body)
+	}
+	return nil, errors.NotFoundf("key %q", key)
+}
+
+func parseVersions(service string, body []byte) (d Versions, err error) {
+	d, err = parse[Versions](body)
+	if err != nil {
+		return Versions{}, err
+	}
+	d.Service = service
+	for _, v := range d.Versions {
+		if err := checkDepots(v); err != nil {
+			return Versions{}, err
+		}
+	}
+	return d, nil
+}
+
+// checkDepots refuses a version in which a depot is in two shards.
+func checkDepots(v Version) error {
+	held := make(map[string]string)
+	for _, s := range v.Shards {
+		for _, d := range s.Depots {
+			if other, found := held[d]; found {
+				return errors.NotValidf("version %d: depot %q in shards %q and %q; one is allowed, this", v.Number, d, other, s.Name)
+			}
+			held[d] = s.Name
+		}
+	}
+	return nil
+}
+
+func parse[D Document](body []byte) (d D, err error) {
+	if err := DecodeStrict(body, &d); err != nil {
+		return d, err
+	}
+	return d, Validate(d)
+}
+
+// DecodeStrict decodes one JSON value, refusing unknown fields and trailing
+// data. The error satisfies errors.Is(err, errors.NotValid).
+func DecodeStrict(body []byte, target any) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return errors.NewNotValid(err, "malformed JSON")
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.NotValidf("data after the JSON value")
+	}
+	return nil
+}
+
+// Validate checks the validate tags of a struct. The error names field,
+// value and what is allowed, and satisfies errors.Is(err, errors.NotValid).
+func Validate(value any) error {
+	err := validate.Struct(value)
+	if err == nil {
+		return nil
+	}
+	var fields validator.ValidationErrors
+	if !errors.As(err, &fields) {
+		return err
+	}
+	f := fields[0]
+	allowed := f.Tag()
+	if f.Param() != "" {
+		allowed += " " + f.Param()
+	}
+	return errors.NewNotValid(FieldError{
+		Field: fieldPath(f.Namespace()), Value: fmt.Sprint(f.Value()), Allowed: allowed,
+	}, "")
+}
+
+// FieldError is a field whose value is not allowed.
+type FieldError struct {
+	Field, Value, Allowed string
+}
+
+// Error implements error.
+func (e FieldError) Error() string {
+	return fmt.Sprintf("field %s: value %s is not valid (allowed: %s)", e.Field, e.Value, e.Allowed)
+}
+
+func fieldPath(namespace string) string {
+	_, path, found := strings.Cut(namespace, ".")
+	if !found {
+		return namespace
+	}
+	return path
+}
--- /dev/null
+++ b/internal/driftdocument/document_test.go
@@ -0,0 +1,46 @@
+package driftdocument
+
+import (
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestParse(t *testing.T) {
+	t.Run("a class keeps its targets", func(t *testing.T) {
+		doc, err := Parse("classes", []byte(`{"classes":[{"name":"fire","service":"counter","fast":"40ms","whole":0.95}]}`))
+		require.NoError(t, err)
+		classes, ok := doc.(Classes)
+		require.True(t, ok)
+		assert.Equal(t, 40*time.Millisecond, classes.Rows()[0].Fast)
+	})
+	t.Run("an unknown field is refused", func(t *testing.T) {
+		assertInvalid(t, "marks", `{"weights":[1]}`, "weights")
+	})
+	t.Run("a floor above one is refused", func(t *testing.T) {
+		assertInvalid(t, "classes", `{"classes":[{"name":"a","service":"s","fast":"40ms","whole":2}]}`, "classes[0].whole")
+	})
+	t.Run("a target of no length is refused", func(t *testing.T) {
+		assertInvalid(t, "classes", `{"classes":[{"name":"a","service":"s","fast":"1us","whole":1}]}`, "classes[0].fast")
+	})
+	t.Run("a name in place of an IP number is refused", func(t *testing.T) {
+		assertInvalid(t, "upstreams/counter", `{"upstreams":[{"name":"a","domain":"d","address":"host:1","slots":1,"connections":1,"opening":"6ms"}]}`, "address")
+	})
+	t.Run("a depot in two shards is refused", func(t *testing.T) {
+		assertInvalid(t, "versions/counter", `{"versions":[{"number":1,"shards":[{"name":"a","depots":["x"],"upstreams":["u"]},{"name":"b","depots":["x"],"upstreams":["u"]}]}]}`, `depot "x"`)
+	})
+	t.Run("a key without a document is not found", func(t *testing.T) {
+		_, err := Parse("weights", []byte(`{}`))
+		assert.ErrorIs(t, err, errors.NotFound)
+	})
+}
+
+func assertInvalid(t *testing.T, key, body, mention string) {
+	t.Helper()
+	_, err := Parse(key, []byte(body))
+	require.ErrorIs(t, err, errors.NotValid)
+	assert.ErrorContains(t, err, mention)
+}
--- /dev/null
+++ b/internal/driftdocument/validate.go
@@ -0,0 +1,44 @@
+package driftdocument
+
+import (
+	"net/netip"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+)
+
+var validate = newValidator()
+
+// newValidator returns a validator that names fields as JSON does and knows
+// the tags of this project.
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(jsonName)
+	v.RegisterCustomTypeFunc(durationValue, Duration(0))
+	mustRegister(v, "ipport", isIPPort)
+	return v
+}
+
+func mustRegister(v *validator.Validate, tag string, check validator.Func) {
+	if err := v.RegisterValidation(tag, check); err != nil {
+		panic(err)
+	}
+}
+
+// durationValue lets the validator compare a Duration with limits like 1ms.
+func durationValue(field reflect.Value) any {
+	return time.Duration(field.Int())
+}
+
+func jsonName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	return name
+}
+
+// isIPPort accepts an IP number and a port, such as "127.0.0.1:7000".
+func isIPPort(level validator.FieldLevel) bool {
+	_, err := netip.ParseAddrPort(level.Field().String())
+	return err == nil
+}
--- /dev/null
+++ b/internal/driftevent/catalogue.go
@@ -0,0 +1,139 @@
+package driftevent
+
+// Code is the number of a kind of event. Numbers are never given again.
+type Code int
+
+// The events of the control plane (100), of the front (200), of the owner
+// (300), and violated promises (900).
+const (
+	VMStarted          Code = 100
+	VMLeaving          Code = 101
+	VMStopped          Code = 102
+	VMHealthChanged    Code = 103
+	VMPaused           Code = 104
+	VMFenced           Code = 105
+	VMUnfenced         Code = 106
+	OwnerChanged       Code = 110
+	ConfigInForce      Code = 120
+	ConfigRefused      Code = 121
+	ConfigStale        Code = 122
+	ConfigUnavailable  Code = 123
+	ConfigRecovered    Code = 124
+	MarkChanged        Code = 130
+	QueryStarted       Code = 200
+	QueryAnswered      Code = 201
+	QueryRefused       Code = 202
+	QueryRestarted     Code = 203
+	AttemptStarted     Code = 210
+	AttemptEnded       Code = 211
+	AttemptHedged      Code = 212
+	ReplyDropped       Code = 213
+	UpstreamWarmed     Code = 300
+	UpstreamCooled     Code = 301
+	UpstreamLimit      Code = 302
+	UpstreamLeaving    Code = 303
+	ConnectionOpened   Code = 310
+	ConnectionClosed   Code = 311
+	ConnectionSilent   Code = 312
+	DispatchRefused    Code = 320
+	DispatchStarted    Code = 321
+	DispatchEnded      Code = 322
+	RequestRelayed     Code = 323
+	HandoverSent       Code = 330
+	HandoverReceived   Code = 331
+	PromiseViolated    Code = 900
+	InternalErrorFound Code = 901
+)
+
+// codeLimit is one more than the highest code.
+const codeLimit = 1000
+
+type severity int
+
+const (
+	severityTrace severity = iota
+	severityInfo
+	severityWarning
+	severityError
+)
+
+// entry is a line of the catalogue.
+type entry struct {
+	code     Code
+	name     string
+	severity severity
+}
+
+var catalogue = []entry{
+	{VMStarted, "vm started", severityInfo},
+	{VMLeaving, "vm leaving", severityInfo},
+	{VMStopped, "vm stopped", severityInfo},
+	{VMHealthChanged, "vm health changed", severityInfo},
+	{VMPaused, "vm paused", severityWarning},
+	{VMFenced, "vm fenced", severityWarning},
+	{VMUnfenced, "vm unfenced", severityInfo},
+	{OwnerChanged, "owner changed", severityTrace},
+	{ConfigInForce, "config in force", severityInfo},
+	{ConfigRefused, "config refused", severityError},
+	{ConfigStale, "config stale", severityWarning},
+	{ConfigUnavailable, "config unavailable", severityWarning},
+	{ConfigRecovered, "config recovered", severityInfo},
+	{MarkChanged, "mark changed", severityInfo},
+	{QueryStarted, "query started", severityTrace},
+	{QueryAnswered, "query answered", severityTrace},
+	{QueryRefused, "query refused", severityTrace},
+	{QueryRestarted, "query restarted", severityTrace},
+	{AttemptStarted, "attempt started", severityTrace},
+	{AttemptEnded, "attempt ended", severityTrace},
+	{AttemptHedged, "attempt hedged", severityTrace},
+	{ReplyDropped, "reply dropped", severityWarning},
+	{UpstreamWarmed, "upstream warmed", severityInfo},
+	{UpstreamCooled, "upstream cooled", severityWarning},
+	{UpstreamLimit, "upstream limit", severityTrace},
+	{UpstreamLeaving, "upstream leaving", severityInfo},
+	{ConnectionOpened, "connection opened", severityTrace},
+	{ConnectionClosed, "connection closed", severityTrace},
+	{ConnectionSilent, "connection silent", severityWarning},
+	{DispatchRefused, "dispatch refused", severityTrace},
+	{DispatchStarted, "dispatch started", severityTrace},
+	{DispatchEnded, "dispatch ended", severityTrace},
+	{RequestRelayed, "request relayed", severityTrace},
+	{HandoverSent, "handover sent", severityTrace},
+	{HandoverReceived, "handover received", severityTrace},
+	{PromiseViolated, "promise violated", severityError},
+	{InternalErrorFound, "internal error", severityError},
+}
+
+var entries = indexCatalogue()
+
+func indexCatalogue() []entry {
+	index := make([]entry, codeLimit)
+	for _, e := range catalogue {
+		index[e.code] = e
+	}
+	return index
+}
+
+// Name returns the name of the code, as docs/EVENTS.md lists it.
+func (c Code) Name() string {
+	if c < 0 || int(c) >= len(entries) {
+		return ""
+	}
+	return entries[c].name
+}
+
+func (c Code) severity() severity {
+	if c < 0 || int(c) >= len(entries) {
+		return severityError
+	}
+	return entries[c].severity
+}
+
+// Codes returns every code of the catalogue in its order.
+func Codes() []Code {
+	codes := make([]Code, 0, len(catalogue))
+	for _, e := range catalogue {
+		codes = append(codes, e.code)
+	}
+	return codes
+}
--- /dev/null
+++ b/internal/driftfake/dial.go
@@ -0,0 +1,171 @@
+package driftfake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftshard"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+	"github.com/almonddrift/almonddrift/internal/driftupstream"
+)
+
+// errRefused is what a dialer answers for an upstream that takes no
+// connection.
+var errRefused = errors.New("connection refused")
+
+// Dialer connects to Upstreams without a network. It implements
+// driftupstream.Dialer.
+type Dialer struct {
+	upstreams map[string]*Upstream
+
+	mu  sync.Mutex
+	cut map[string]bool
+}
+
+// NewDialer returns a Dialer that reaches the given upstreams.
+func NewDialer(upstreams ...*Upstream) *Dialer {
+	d := &Dialer{upstreams: make(map[string]*Upstream), cut: make(map[string]bool)}
+	for _, u := range upstreams {
+		d.upstreams[u.Name] = u
+	}
+	return d
+}
+
+// Cut makes an upstream unreachable over new connections, or reachable.
+func (d *Dialer) Cut(upstream string, cut bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cut[upstream] = cut
+}
+
+// Dial implements driftupstream.Dialer.
+func (d *Dialer) Dial(ctx context.Context, u drifttable.Upstream) (driftupstream.Conn, error) {
+	d.mu.Lock()
+	target, found := d.upstreams[u.Name]
+	cut := d.cut[u.Name]
+	d.mu.Unlock()
+	if !found || cut {
+		return nil, errRefused
+	}
+	return target.accept(ctx)
+}
+
+// accept opens one connection after the opening cost.
+func (u *Upstream) accept(ctx context.Context) (driftupstream.Conn, error) {
+	u.mu.Lock()
+	full := u.conns >= u.maxConns
+	if !full {
+		u.conns++
+		u.counts.Opened++
+		u.counts.PeakConns = max(u.counts.PeakConns, u.conns)
+	}
+	u.mu.Unlock()
+	if full {
+		return nil, errRefused
+	}
+	connCtx, cancel := context.WithCancel(context.Background())
+	c := &conn{upstream: u, ctx: connCtx, cancel: cancel}
+	timer := time.NewTimer(u.opening)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return c, nil
+	case <-ctx.Done():
+		_ = c.Close()
+		return nil, ctx.Err()
+	}
+}
+
+// conn is one connection to an Upstream.
+type conn struct {
+	upstream *Upstream
+	ctx      context.Context //nolint:containedctx // the life of the connection
+	cancel   context.CancelFunc
+	once     sync.Once
+}
+
+// Close implements driftupstream.Conn.
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		c.cancel()
+		c.upstream.mu.Lock()
+		defer c.upstream.mu.Unlock()
+		c.upstream.conns--
+	})
+	return nil
+}
+
+// Do implements driftupstream.Conn. Ending ctx ends the request at the
+// upstream too, as closing a connection does.
+func (c *conn) Do(ctx context.Context, r driftshard.Request) driftupstream.Reply {
+	if c.ctx.Err() != nil {
+		return driftupstream.Failed{Reason: driftshard.ReasonUnreachable, Err: errRefused}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(c.ctx, cancel)
+	defer stop()
+	a := c.upstream.serve(ctx, driftupstream.Search{
+		Request: r.Query, Attempt: r.Attempt, Shard: r.Shard, Version: r.Version,
+		Depots: r.Depots, Text: r.Text, Once: r.Once,
+		Deadline: time.Until(r.Deadline).Milliseconds(),
+	})
+	return a.reply(ctx)
+}
+
+func (a answer) reply(ctx context.Context) driftupstream.Reply {
+	switch a.Status {
+	case http.StatusOK:
+		f := a.Body
+		return driftupstream.Answered{
+			Attempt: f.Attempt, Version: f.Version, Depots: f.Depots, Rows: f.Rows,
+			Count: f.Count, Boot: f.Boot, Load: driftshard.Load{Flight: f.Busy, Queue: f.Queue},
+		}
+	case http.StatusServiceUnavailable:
+		return driftupstream.Shed{Boot: a.Body.Boot}
+	case http.StatusConflict:
+		return driftupstream.Shed{Boot: a.Body.Boot, Other: true, Version: a.Body.Version}
+	case http.StatusGone:
+		return driftupstream.Parting{}
+	}
+	if ctx.Err() != nil {
+		return driftupstream.Failed{Sent: true, Reason: driftshard.ReasonSilent, Err: ctx.Err()}
+	}
+	return driftupstream.Failed{Sent: true, Reason: driftshard.ReasonUnreachable, Err: errRefused}
+}
+
+// ServeHTTP serves the protocol of docs/UPSTREAMS.md.
+func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var s driftupstream.Search
+	if err := json.NewDecoder(r.Body).Decode(&s); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	a := u.serve(r.Context(), s)
+	if a.Status == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(a.Status)
+	_ = json.NewEncoder(w).Encode(a.Body)
+}
+
+// ConnState counts connections; it fits http.Server.ConnState.
+func (u *Upstream) ConnState(_ net.Conn, state http.ConnState) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		u.conns++
+		u.counts.Opened++
+		u.counts.PeakConns = max(u.counts.PeakConns, u.conns)
+	case http.StateClosed, http.StateHijacked:
+		u.conns--
+	case http.StateActive, http.StateIdle:
+	}
+}
--- /dev/null
+++ b/internal/driftfake/fleet.go
@@ -0,0 +1,131 @@
+package driftfake
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftdocument"
+)
+
+// Size describes one service of a user: shards × one upstream a domain.
+type Size struct {
+	Service     string
+	Domains     []string
+	Shards      int
+	Depots      int
+	Slots       int
+	Connections int
+	Opening     time.Duration
+	Time        time.Duration
+}
+
+// Oshana returns the size of Oshana's counter app.
+func Oshana() Size {
+	return Size{
+		Service: "counter", Domains: []string{"Ondangwa", "Oshakati", "Ongwediva"},
+		Shards: 10, Depots: 2, Slots: 4, Connections: 35, Opening: 6 * time.Millisecond,
+		Time: 3 * time.Millisecond,
+	}
+}
+
+// Tacada returns the size of Tacada's booking portal. Each shard has three
+// upstreams in three of the four domains.
+func Tacada() Size {
+	return Size{
+		Service: "booking", Domains: []string{"Salvador", "Recife", "Fortaleza", "Natal"},
+		Shards: 10, Depots: 2, Slots: 2, Connections: 25, Opening: 6 * time.Millisecond,
+		Time: 3 * time.Millisecond,
+	}
+}
+
+// replicas is how many upstreams each shard has.
+const replicas = 3
+
+// Upstreams returns the stand-ins of the size, shard by shard.
+func (s Size) Upstreams(seed uint64) []*Upstream {
+	upstreams := make([]*Upstream, 0, s.Shards*replicas)
+	for i := range s.Shards {
+		for j := range replicas {
+			upstreams = append(upstreams, NewUpstream(s.name(i, j),
+				WithSlots(s.Slots), WithService(s.Time, 0.5),
+				WithOpening(s.Opening, s.Connections),
+				WithSeed(seed+uint64(i*replicas+j)),
+			))
+		}
+	}
+	return upstreams
+}
+
+func (s Size) name(shard, replica int) string {
+	return fmt.Sprintf("%s-%d%c", s.Service, shard+1, 'a'+rune(replica))
+}
+
+// Domain returns the failure domain of a replica of a shard.
+func (s Size) Domain(shard, replica int) string {
+	return s.Domains[(shard+replica)%len(s.Domains)]
+}
+
+// UpstreamsDocument returns the published upstreams. The address function
+// gives the address of an upstream by its name.
+func (s Size) UpstreamsDocument(address func(name string) string) driftdocument.Upstreams {
+	d := driftdocument.Upstreams{Service: s.Service}
+	for i := range s.Shards {
+		for j := range replicas {
+			name := s.name(i, j)
+			d.Upstreams = append(d.Upstreams, driftdocument.Upstream{
+				Name: name, Domain: s.Domain(i, j), Address: address(name), Slots: s.Slots,
+				Connections: s.Connections, Opening: driftdocument.Duration(s.Opening),
+			})
+		}
+	}
+	return d
+}
+
+// VersionsDocument returns the published index versions, all of the same
+// layout.
+func (s Size) VersionsDocument(numbers ...uint64) driftdocument.Versions {
+	d := driftdocument.Versions{Service: s.Service}
+	for _, n := range numbers {
+		d.Versions = append(d.Versions, driftdocument.Version{Number: n, Shards: s.shards()})
+	}
+	return d
+}
+
+func (s Size) shards() []driftdocument.Shard {
+	shards := make([]driftdocument.Shard, 0, s.Shards)
+	for i := range s.Shards {
+		shard := driftdocument.Shard{Name: fmt.Sprintf("%s-%d", s.Service, i+1)}
+		for j := range s.Depots {
+			shard.Depots = append(shard.Depots, fmt.Sprintf("depot-%d-%d", i+1, j+1))
+		}
+		for j := range replicas {
+			shard.Upstreams = append(shard.Upstreams, s.name(i, j))
+		}
+		shards = append(shards, shard)
+	}
+	return shards
+}
+
+// DomainsDocument returns the published failure domains.
+func (s Size) DomainsDocument() driftdocument.Domains {
+	var d driftdocument.Domains
+	for _, name := range s.Domains {
+		d.Domains = append(d.Domains, driftdocument.Domain{Name: name, Region: "home"})
+	}
+	return d
+}
+
+// ClassesDocument returns four classes of work over the service.
+func (s Size) ClassesDocument() driftdocument.Classes {
+	class := func(name string, fast time.Duration, whole float64, once bool) driftdocument.Class {
+		return driftdocument.Class{
+			Name: name, Service: s.Service, Fast: driftdocument.Duration(fast), Whole: whole, Once: once,
+		}
+	}
+	return driftdocument.Classes{Classes: []driftdocument.Class{
+		class("counter", 60*time.Millisecond, 0.9, false),
+		class("fire", 40*time.Millisecond, 0.95, false),
+		class("night", 2*time.Second, 0.99, false),
+		class("reserve", 200*time.Millisecond, 1, true),
+	}}
+}
--- /dev/null
+++ b/internal/driftfake/platform.go
@@ -0,0 +1,222 @@
+package driftfake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftplatform"
+)
+
+// errDown is what a platform that is down answers.
+var errDown = errors.New("platform is down")
+
+// watchWait is how long the service lets a watch wait.
+const watchWait = 20 * time.Second
+
+// Platform is a small stand-in for the configuration service and the VM
+// list. It implements driftplatform.Config and driftplatform.Lister, and
+// serves the protocol of docs/PLATFORM.md as an http.Handler. It is safe for
+// concurrent use.
+type Platform struct {
+	mu      sync.Mutex
+	values  map[string]driftplatform.Value
+	frozen  map[string]driftplatform.Value
+	vms     []driftplatform.ListedVM
+	listLag time.Duration
+	down    bool
+	changed chan struct{}
+	reads   int
+}
+
+// NewPlatform returns a platform without values.
+func NewPlatform() *Platform {
+	return &Platform{
+		values:  make(map[string]driftplatform.Value),
+		changed: make(chan struct{}),
+	}
+}
+
+// Put publishes a document under the key and returns its revision.
+func (p *Platform) Put(key string, document any) uint64 {
+	body, err := json.Marshal(document)
+	if err != nil {
+		panic(err)
+	}
+	return p.PutRaw(key, body)
+}
+
+// PutRaw publishes bytes under the key and returns their revision.
+func (p *Platform) PutRaw(key string, body []byte) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	number := p.values[key].Number + 1
+	p.values[key] = driftplatform.Value{Key: key, Number: number, Body: body}
+	p.wake()
+	return number
+}
+
+// SetDown makes the configuration service and the VM list fail, or work.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	p.wake()
+}
+
+// SetStale makes the configuration service answer with its values of now,
+// whatever is published later, until it is called with false.
+func (p *Platform) SetStale(stale bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen = nil
+	if stale {
+		p.frozen = make(map[string]driftplatform.Value)
+		for k, v := range p.values {
+			p.frozen[k] = v
+		}
+	}
+	p.wake()
+}
+
+// SetListLag sets how late changes of the VM list are seen.
+func (p *Platform) SetListLag(lag time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listLag = lag
+}
+
+// SetVMs publishes the VM list, after the lag.
+func (p *Platform) SetVMs(vms ...driftplatform.ListedVM) {
+	p.mu.Lock()
+	lag := p.listLag
+	p.mu.Unlock()
+	vms = slices.Clone(vms)
+	if lag == 0 {
+		p.showVMs(vms)
+		return
+	}
+	time.AfterFunc(lag, func() { p.showVMs(vms) })
+}
+
+func (p *Platform) showVMs(vms []driftplatform.ListedVM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms = vms
+}
+
+// Reads returns how many calls the configuration service has counted.
+func (p *Platform) Reads() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reads
+}
+
+// wake ends the waiting watches. The caller holds the lock.
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Read implements driftplatform.Config.
+func (p *Platform) Read(_ context.Context, key string) driftplatform.ConfigResult {
+	result, _ := p.look(key, 0, true)
+	return result
+}
+
+// Watch implements driftplatform.Config.
+func (p *Platform) Watch(ctx context.Context, key string, after uint64) driftplatform.ConfigResult {
+	ctx, cancel := context.WithTimeout(ctx, watchWait)
+	defer cancel()
+	for first := true; ; first = false {
+		result, changed := p.look(key, after, first)
+		if _, unchanged := result.(driftplatform.Unchanged); !unchanged {
+			return result
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return driftplatform.Unchanged{}
+		}
+	}
+}
+
+// look returns the value if it is newer, and a channel that is closed at
+// the next change.
+func (p *Platform) look(key string, after uint64, count bool) (driftplatform.ConfigResult, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if count {
+		p.reads++
+	}
+	if p.down {
+		return driftplatform.Unavailable{Err: errDown}, p.changed
+	}
+	values := p.values
+	if p.frozen != nil {
+		values = p.frozen
+	}
+	value, found := values[key]
+	switch {
+	case !found:
+		return driftplatform.Absent{}, p.changed
+	case value.Number <= after:
+		return driftplatform.Unchanged{}, p.changed
+	}
+	return driftplatform.Found{Value: value}, p.changed
+}
+
+// List implements driftplatform.Lister.
+func (p *Platform) List(context.Context) driftplatform.ListResult {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return driftplatform.ListUnavailable{Err: errDown}
+	}
+	return driftplatform.Listed{VMs: slices.Clone(p.vms)}
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/vms" {
+		p.serveList(w, r)
+		return
+	}
+	key := strings.TrimPrefix(r.URL.Path, "/v1/values/")
+	var result driftplatform.ConfigResult
+	if after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64); err == nil {
+		result = p.Watch(r.Context(), key, after)
+	} else {
+		result = p.Read(r.Context(), key)
+	}
+	writeValue(w, result)
+}
+
+func writeValue(w http.ResponseWriter, result driftplatform.ConfigResult) {
+	switch result := result.(type) {
+	case driftplatform.Found:
+		w.Header().Set("Drift-Revision", strconv.FormatUint(result.Value.Number, 10))
+		_, _ = w.Write(result.Value.Body)
+	case driftplatform.Unchanged:
+		w.WriteHeader(http.StatusNoContent)
+	case driftplatform.Absent:
+		w.WriteHeader(http.StatusNotFound)
+	case driftplatform.Unavailable:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
+	listed, ok := p.List(r.Context()).(driftplatform.Listed)
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(listed.VMs)
+}
--- /dev/null
+++ b/internal/driftplatform/http.go
@@ -0,0 +1,126 @@
+package driftplatform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/juju/errors"
+)
+
+// Limits of the platform's protocol.
+const (
+	// maxValueBytes is the size of the largest value that is accepted.
+	maxValueBytes = 1 << 20
+	// revisionHeader carries the revision of a value.
+	revisionHeader = "Drift-Revision"
+)
+
+// HTTPPlatform reads the platform over HTTP as docs/PLATFORM.md describes.
+// It implements Config and Lister.
+type HTTPPlatform struct {
+	base   string
+	client *http.Client
+}
+
+// NewHTTPPlatform returns an adapter for the platform at base, such as
+// "http://127.0.0.1:7000".
+func NewHTTPPlatform(base string, client *http.Client) *HTTPPlatform {
+	return &HTTPPlatform{base: base, client: client}
+}
+
+// Read implements Config.
+func (p *HTTPPlatform) Read(ctx context.Context, key string) ConfigResult {
+	return p.value(ctx, key, "")
+}
+
+// Watch implements Config.
+func (p *HTTPPlatform) Watch(ctx context.Context, key string, after uint64) ConfigResult {
+	return p.value(ctx, key, "?after="+strconv.FormatUint(after, 10))
+}
+
+func (p *HTTPPlatform) value(ctx context.Context, key, query string) ConfigResult {
+	resp, err := p.get(ctx, "/v1/values/"+url.PathEscape(key)+query)
+	if err != nil {
+		return Unavailable{Err: err}
+	}
+	defer closeBody(resp)
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return readValue(key, resp)
+	case http.StatusNoContent:
+		return Unchanged{}
+	case http.StatusNotFound:
+		return Absent{}
+	}
+	return Unavailable{Err: errors.Errorf("key %q: status %d", key, resp.StatusCode)}
+}
+
+func readValue(key string, resp *http.Response) ConfigResult {
+	number, err := strconv.ParseUint(resp.Header.Get(revisionHeader), 10, 64)
+	if err != nil {
+		return Unavailable{Err: errors.Annotatef(err, "key %q: revision", key)}
+	}
+	body, err := readLimited(resp.Body)
+	if err != nil {
+		return Unavailable{Err: errors.Annotatef(err, "key %q", key)}
+	}
+	return Found{Value: Value{Key: key, Number: number, Body: body}}
+}
+
+// List implements Lister.
+func (p *HTTPPlatform) List(ctx context.Context) ListResult {
+	vms, err := p.list(ctx)
+	if err != nil {
+		return ListUnavailable{Err: err}
+	}
+	return Listed{VMs: vms}
+}
+
+func (p *HTTPPlatform) list(ctx context.Context) (vms []ListedVM, err error) {
+	defer errors.DeferredAnnotatef(&err, "reading the VM list")
+	resp, err := p.get(ctx, "/v1/vms")
+	if err != nil {
+		return nil, err
+	}
+	defer closeBody(resp)
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	body, err := readLimited(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(body, &vms); err != nil {
+		return nil, err
+	}
+	return vms, nil
+}
+
+func (p *HTTPPlatform) get(ctx context.Context, path string) (resp *http.Response, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, p.base+path, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	return p.client.Do(req)
+}
+
+func readLimited(r io.Reader) (body []byte, err error) {
+	body, err = io.ReadAll(io.LimitReader(r, maxValueBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxValueBytes {
+		return nil, fmt.Errorf("value exceeds %d bytes", maxValueBytes)
+	}
+	return body, nil
+}
+
+func closeBody(resp *http.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxValueBytes))
+	_ = resp.Body.Close()
+}
--- /dev/null
+++ b/internal/driftplatform/platform.go
@@ -0,0 +1,96 @@
+// Package driftplatform is what almonddrift reads from the platform: the
+// configuration service and the list of live and leaving VMs. Both are only
+// ever read; nothing of the system writes shared state.
+//
+// Each interface returns a sealed set of results, so that a test bench or
+// another platform needs one new adapter file. HTTPPlatform speaks the
+// protocol of docs/PLATFORM.md.
+//
+// # Usage
+//
+//	switch r := config.Watch(ctx, "classes", held).(type) {
+//	case driftplatform.Found:
+//		apply(r.Value)
+//	case driftplatform.Unchanged, driftplatform.Absent:
+//	case driftplatform.Unavailable:
+//		report(r.Err)
+//	}
+package driftplatform
+
+import "context"
+
+// Value is one value of the configuration service. Number is its revision,
+// which grows with every change of the key.
+type Value struct {
+	Key    string
+	Number uint64
+	Body   []byte
+}
+
+// Config reads the configuration service. A call counts as one read, and so
+// does a waiting watch.
+type Config interface {
+	// Read returns the value of a key.
+	Read(ctx context.Context, key string) ConfigResult
+	// Watch waits until the key has a revision above after. It returns
+	// Unchanged when the service ends the wait without a change.
+	Watch(ctx context.Context, key string, after uint64) ConfigResult
+}
+
+// ConfigResult is Found, Unchanged, Absent or Unavailable.
+type ConfigResult interface {
+	configResult()
+}
+
+// Found carries a value. A stale service may return an old one.
+type Found struct {
+	Value Value
+}
+
+// Unchanged says that a watch ended without a change.
+type Unchanged struct{}
+
+// Absent says that the key has no value.
+type Absent struct{}
+
+// Unavailable says that the service did not answer.
+type Unavailable struct {
+	Err error
+}
+
+func (Found) configResult()       {}
+func (Unchanged) configResult()   {}
+func (Absent) configResult()      {}
+func (Unavailable) configResult() {}
+
+// ListedVM is one entry of the published VM list.
+type ListedVM struct {
+	Name    string `json:"name" validate:"required,max=64"`
+	Domain  string `json:"domain" validate:"required,max=64"`
+	Callers string `json:"callers" validate:"required,ipport"`
+	Peers   string `json:"peers" validate:"required,ipport"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Lister reads the list of live and leaving VMs. The list lags.
+type Lister interface {
+	List(ctx context.Context) ListResult
+}
+
+// ListResult is Listed or ListUnavailable.
+type ListResult interface {
+	listResult()
+}
+
+// Listed carries the list.
+type Listed struct {
+	VMs []ListedVM
+}
+
+// ListUnavailable says that the list could not be read.
+type ListUnavailable struct {
+	Err error
+}
+
+func (Listed) listResult()          {}
+func (ListUnavailable) listResult() {}
--- /dev/null
+++ b/internal/driftserve/process.go
@@ -0,0 +1,203 @@
+// Package driftserve wires the parts of one VM into a process: control,
+// front, owner, the listeners for callers, other VMs and operators.
+//
+// # Usage
+//
+//	process := driftserve.New(settings, driftserve.WithLogger(logger))
+//	err := process.Start(ctx)
+//	defer process.Stop(ctx)
+package driftserve
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/almonddrift/almonddrift/internal/driftcheck"
+	"github.com/almonddrift/almonddrift/internal/driftcontrol"
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftfront"
+	"github.com/almonddrift/almonddrift/internal/driftowner"
+	"github.com/almonddrift/almonddrift/internal/driftpeer"
+	"github.com/almonddrift/almonddrift/internal/driftplatform"
+	"github.com/almonddrift/almonddrift/internal/driftsettings"
+	"github.com/almonddrift/almonddrift/internal/driftshard"
+	"github.com/almonddrift/almonddrift/internal/driftsteer"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+	"github.com/almonddrift/almonddrift/internal/driftupstream"
+)
+
+// Process is one VM of the system.
+type Process struct {
+	settings driftsettings.Settings
+	logger   *logrus.Logger
+	boot     uint64
+	app      *fx.App
+
+	listeners listeners
+	events    *driftevent.Log
+	checker   *driftcheck.Checker
+	control   *driftcontrol.Control
+}
+
+// Option changes a Process that New makes.
+type Option func(*Process)
+
+// WithLogger sets the logger. Without it a process logs JSON to standard
+// error.
+func WithLogger(logger *logrus.Logger) Option {
+	return func(p *Process) { p.logger = logger }
+}
+
+// listeners are the sockets of a process, opened before anything is wired so
+// that port 0 works.
+type listeners struct {
+	callers, peers, ops net.Listener
+}
+
+// Addresses are the addresses that a process listens on.
+type Addresses struct {
+	Callers, Peers, Ops string
+}
+
+// New returns a process with the given settings. Start runs it.
+func New(settings driftsettings.Settings, opts ...Option) *Process {
+	p := &Process{settings: settings, boot: uint64(time.Now().UnixNano())}
+	for _, opt := range opts {
+		opt(p)
+	}
+	if p.logger == nil {
+		p.logger = logrus.New()
+		p.logger.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return p
+}
+
+// Listen opens the sockets, so that Addresses is known before Start.
+func (p *Process) Listen(ctx context.Context) (err error) {
+	defer errors.DeferredAnnotatef(&err, "VM %q", p.settings.Name)
+	var config net.ListenConfig
+	if p.listeners.callers, err = config.Listen(ctx, "tcp", p.settings.Callers); err != nil {
+		return err
+	}
+	if p.listeners.peers, err = config.Listen(ctx, "tcp", p.settings.Peers); err != nil {
+		return err
+	}
+	p.listeners.ops, err = config.Listen(ctx, "tcp", p.settings.Ops)
+	return err
+}
+
+// Addresses returns where the process listens. Call it after Listen.
+func (p *Process) Addresses() Addresses {
+	return Addresses{
+		Callers: p.listeners.callers.Addr().String(),
+		Peers:   p.listeners.peers.Addr().String(),
+		Ops:     p.listeners.ops.Addr().String(),
+	}
+}
+
+// Start runs the process until Stop. It calls Listen if nobody has.
+func (p *Process) Start(ctx context.Context) (err error) {
+	defer errors.DeferredAnnotatef(&err, "starting VM %q", p.settings.Name)
+	if p.listeners.callers == nil {
+		if err := p.Listen(ctx); err != nil {
+			return err
+		}
+	}
+	p.app = fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(p, p.settings),
+		fx.Provide(
+			newRegistry, newEvents, newChecker, newPlatform, newControl, newViews,
+			newDialer, newOwner, newRouter, newFront, newSteer, newCallersHandler,
+			newPeersHandler, newOpsHandler,
+		),
+		fx.Invoke(runControl, runListeners),
+	)
+	if err := p.app.Err(); err != nil {
+		return err
+	}
+	return p.app.Start(ctx)
+}
+
+// Stop shuts the process down in order: it announces that the VM leaves,
+// waits until callers have moved on, lets requests in flight end, and stops.
+func (p *Process) Stop(ctx context.Context) (err error) {
+	defer errors.DeferredAnnotatef(&err, "stopping VM %q", p.settings.Name)
+	p.control.Leave(ctx)
+	return p.app.Stop(ctx)
+}
+
+// Checker returns the checks of the ten promises, for reports and tests.
+func (p *Process) Checker() *driftcheck.Checker {
+	return p.checker
+}
+
+func newRegistry() *prometheus.Registry {
+	return prometheus.NewRegistry()
+}
+
+func newEvents(p *Process) *driftevent.Log {
+	p.events = driftevent.NewLog(p.settings.Name, p.boot, driftevent.WithLogger(p.logger))
+	return p.events
+}
+
+func newChecker(p *Process, events *driftevent.Log) *driftcheck.Checker {
+	p.checker = driftcheck.NewChecker(events)
+	return p.checker
+}
+
+// platformTimeout bounds a read of the platform; it is longer than a watch.
+const platformTimeout = time.Minute
+
+func newPlatform(s driftsettings.Settings) *driftplatform.HTTPPlatform {
+	client := &http.Client{Timeout: platformTimeout}
+	return driftplatform.NewHTTPPlatform("http://"+s.Platform, client)
+}
+
+func newControl(
+	p *Process, platform *driftplatform.HTTPPlatform, events *driftevent.Log, checker *driftcheck.Checker,
+) *driftcontrol.Control {
+	a := p.Addresses()
+	self := drifttable.VM{
+		Name: p.settings.Name, Domain: p.settings.Domain, Boot: p.boot,
+		Callers: a.Callers, Peers: a.Peers,
+	}
+	p.control = driftcontrol.New(self, platform, platform, events, checker)
+	return p.control
+}
+
+func newViews(control *driftcontrol.Control) *drifttable.Holder {
+	return control.Views()
+}
+
+func newDialer() driftupstream.Dialer {
+	return driftupstream.NewHTTPDialer()
+}
+
+func newOwner(
+	views *drifttable.Holder, dialer driftupstream.Dialer, events *driftevent.Log, checker *driftcheck.Checker,
+) *driftowner.Owner {
+	return driftowner.New(views, dialer, events, checker)
+}
+
+func newRouter(views *drifttable.Holder, owner *driftowner.Owner) driftshard.Sender {
+	return driftpeer.NewRouter(views, owner)
+}
+
+func newFront(
+	views *drifttable.Holder, sender driftshard.Sender, events *driftevent.Log, checker *driftcheck.Checker,
+) *driftfront.Front {
+	return driftfront.New(views, sender, events, checker)
+}
+
+func newSteer(views *drifttable.Holder, s driftsettings.Settings) *driftsteer.Steer {
+	return driftsteer.New(views, time.Duration(s.Life))
+}
--- /dev/null
+++ b/internal/driftserve/run.go
@@ -0,0 +1,75 @@
+package driftserve
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/almonddrift/almonddrift/internal/driftcontrol"
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+)
+
+// Limits of every listener.
+const (
+	headerTimeout  = 5 * time.Second
+	readTimeout    = 30 * time.Second
+	writeTimeout   = 11 * time.Minute
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+)
+
+// runControl runs the control plane for the life of the process.
+func runControl(lifecycle fx.Lifecycle, control *driftcontrol.Control) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				defer close(done)
+				_ = control.Run(ctx)
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			<-done
+			return nil
+		},
+	})
+}
+
+// runListeners serves callers, other VMs and operators.
+func runListeners(
+	lifecycle fx.Lifecycle, p *Process, events *driftevent.Log,
+	callers callersHandler, peers peersHandler, ops opsHandler,
+) {
+	runServer(lifecycle, p.listeners.ops, ops.Handler, events)
+	runServer(lifecycle, p.listeners.peers, peers.Handler, events)
+	runServer(lifecycle, p.listeners.callers, callers.Handler, events)
+}
+
+func runServer(lifecycle fx.Lifecycle, l net.Listener, handler http.Handler, events *driftevent.Log) {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{
+		Handler: handler, Protocols: &protocols, ReadHeaderTimeout: headerTimeout,
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+					events.Record(driftevent.InternalErrorFound, "", l.Addr().String(), err.Error())
+				}
+			}()
+			return nil
+		},
+		OnStop: server.Shutdown,
+	})
+}
--- /dev/null
+++ b/internal/driftsettings/settings.go
@@ -0,0 +1,71 @@
+// Package driftsettings reads the settings of one VM from a JSON file.
+// Unknown fields are errors, and so is every value that is not allowed.
+//
+// # Usage
+//
+//	settings, err := driftsettings.Read("vm-1.json")
+//	if err != nil {
+//		return err // names the field, its value and what is allowed
+//	}
+package driftsettings
+
+import (
+	"os"
+
+	"github.com/juju/errors"
+
+	"github.com/almonddrift/almonddrift/internal/driftdocument"
+)
+
+// Settings are what a VM must be told; everything else is learned from the
+// platform and from other VMs. Addresses are an IP number and a port.
+type Settings struct {
+	// Name is the VM's name, unique in the fleet.
+	Name string `json:"name" validate:"required,max=64,printascii"`
+	// Domain is the VM's failure domain.
+	Domain string `json:"domain" validate:"required,max=64"`
+	// Callers, Peers and Ops are where the VM listens for callers, for other
+	// VMs, and for operators.
+	Callers string `json:"callers" validate:"required,ipport"`
+	Peers   string `json:"peers" validate:"required,ipport"`
+	Ops     string `json:"ops" validate:"required,ipport"`
+	// Platform is the address of the platform's services.
+	Platform string `json:"platform" validate:"required,ipport"`
+	// Log is the lowest severity that is logged.
+	Log string `json:"log" validate:"omitempty,oneof=debug info warning error"`
+	// Life is how long callers may keep the list of entry VMs.
+	Life driftdocument.Duration `json:"life" validate:"omitempty,min=1s,max=10m"`
+}
+
+// Parse reads settings from JSON. The error satisfies
+// errors.Is(err, errors.NotValid).
+func Parse(body []byte) (s Settings, err error) {
+	defer errors.DeferredAnnotatef(&err, "settings")
+	if err := driftdocument.DecodeStrict(body, &s); err != nil {
+		return Settings{}, err
+	}
+	if err := driftdocument.Validate(s); err != nil {
+		return Settings{}, err
+	}
+	return s.withDefaults(), nil
+}
+
+// Read reads settings from a file.
+func Read(path string) (s Settings, err error) {
+	defer errors.DeferredAnnotatef(&err, "reading %q", path)
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	return Parse(body)
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.Log == "" {
+		s.Log = "info"
+	}
+	if s.Life == 0 {
+		s.Life = DefaultLife
+	}
+	return s
+}
--- /dev/null
+++ b/internal/drifttable/entity.go
@@ -0,0 +1,147 @@
+package drifttable
+
+import "time"
+
+// Domain is a failure domain. Out is set while operators have marked it out
+// of service, Since is when this VM first saw the mark.
+type Domain struct {
+	Name   string
+	Region string
+	Out    bool
+	Since  time.Time
+}
+
+// Key returns the domain's name.
+func (d Domain) Key() string { return d.Name }
+
+// Health is what this VM believes about another VM.
+type Health int
+
+// The health of a VM, from best to worst.
+const (
+	// Alive means that the VM answers probes, or is listed and not yet
+	// judged.
+	Alive Health = iota
+	// Suspect means that recent probes failed. The VM keeps its upstreams.
+	Suspect
+	// Leaving means that the VM has announced that it shuts down.
+	Leaving
+	// Dead means that the VM is taken to be gone. It owns nothing.
+	Dead
+)
+
+// String returns the name used in logs and in status output.
+func (h Health) String() string {
+	switch h {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	case Dead:
+		return "dead"
+	}
+	return "unknown"
+}
+
+// VM is an entry VM of the system. Callers is the address that callers
+// connect to, Peers the one that other VMs connect to; both are "IP:port".
+// Boot is the incarnation, higher after every restart or long pause.
+type VM struct {
+	Name    string
+	Domain  string
+	Callers string
+	Peers   string
+	Boot    uint64
+	Health  Health
+	Listed  bool
+	Out     bool
+	// Since is when this VM first saw the Out mark.
+	Since time.Time
+}
+
+// Key returns the VM's name.
+func (v VM) Key() string { return v.Name }
+
+// Upstream is a back end that answers for one or more shards of a service.
+// Slots is the number of requests it runs at a time, Connections the number
+// of connections it accepts from the whole fleet, Opening the cost of a new
+// connection.
+type Upstream struct {
+	Name        string
+	Service     string
+	Domain      string
+	Address     string
+	Slots       int
+	Connections int
+	Opening     time.Duration
+	Leaving     bool
+	// Since is when this VM first saw that the upstream leaves.
+	Since time.Time
+}
+
+// Key returns the upstream's name.
+func (u Upstream) Key() string { return u.Name }
+
+// Shard is one part of an index version: the depots (or courses) that it
+// covers and the upstreams that serve it.
+type Shard struct {
+	Name      string
+	Depots    []string
+	Upstreams []string
+}
+
+// Key returns the shard's name.
+func (s Shard) Key() string { return s.Name }
+
+// Version is one index version of a service, the layout of its shards.
+type Version struct {
+	Number uint64
+	Shards Table[Shard]
+}
+
+// Service is a set of shards that one class of work queries. Versions are
+// ordered from newest to oldest.
+type Service struct {
+	Name     string
+	Versions []Version
+}
+
+// Key returns the service's name.
+func (s Service) Key() string { return s.Name }
+
+// Version returns the layout with the given number, and whether it is
+// published.
+func (s Service) Version(number uint64) (version Version, found bool) {
+	for _, v := range s.Versions {
+		if v.Number == number {
+			return v, true
+		}
+	}
+	return Version{}, false
+}
+
+// Class is a class of work. Fast is the latency target, Whole the coverage
+// floor between 0 and 1. Once marks requests that are not idempotent and may
+// run at most once.
+type Class struct {
+	Name    string
+	Service string
+	Fast    time.Duration
+	Whole   float64
+	Once    bool
+}
+
+// Key returns the class's name.
+func (c Class) Key() string { return c.Name }
+
+// Revision is the number of the published document that is in force for one
+// key of the configuration service.
+type Revision struct {
+	Name   string
+	Number uint64
+}
+
+// Key returns the configuration key.
+func (r Revision) Key() string { return r.Name }
--- /dev/null
+++ b/internal/drifttable/rank.go
@@ -0,0 +1,57 @@
+package drifttable
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// weight is the rendezvous hashing score of a node for a key.
+func weight(key, node string) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(xxhash.Sum64String(key))
+	_, _ = d.WriteString(node)
+	return d.Sum64()
+}
+
+// Rank orders the nodes for a key by rendezvous hashing, the highest score
+// first. Removing a node leaves the order of the others as it was.
+//
+//	owners := drifttable.Rank("counter-3a", []string{"vm-1", "vm-2"})
+func Rank(key string, nodes []string) []string {
+	ranked := make([]scored, 0, len(nodes))
+	for _, n := range nodes {
+		ranked = append(ranked, scored{node: n, score: weight(key, n)})
+	}
+	slices.SortFunc(ranked, compareScored)
+	ordered := make([]string, 0, len(ranked))
+	for _, r := range ranked {
+		ordered = append(ordered, r.node)
+	}
+	return ordered
+}
+
+// First returns the node that Rank would put first, or "" without nodes.
+func First(key string, nodes []string) string {
+	var best scored
+	for _, n := range nodes {
+		s := scored{node: n, score: weight(key, n)}
+		if best.node == "" || compareScored(s, best) < 0 {
+			best = s
+		}
+	}
+	return best.node
+}
+
+type scored struct {
+	node  string
+	score uint64
+}
+
+func compareScored(a, b scored) int {
+	if c := cmp.Compare(b.score, a.score); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.node, b.node)
+}
--- /dev/null
+++ b/internal/drifttable/view.go
@@ -0,0 +1,119 @@
+// Package drifttable holds the entities that almonddrift works with, kept in
+// tables, and the immutable View of them that traffic reads.
+//
+// The control goroutine owns the tables. On each tick it builds a new View
+// and publishes it through an atomic pointer (see Holder). Front and owner
+// read one View at the start of a decision and use it to the end of that
+// decision, so that a change in the middle is never seen in part.
+//
+// # Usage
+//
+//	holder := drifttable.NewHolder(drifttable.View{Self: "vm-1"})
+//	v := holder.Load()
+//	owner, found := v.Owner("counter-3a")
+package drifttable
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// View is everything that traffic may know about the fleet, at one moment.
+// A published View is never changed.
+type View struct {
+	// Self is the name of the VM that built the view.
+	Self string
+	// Number counts the views that this VM has published.
+	Number uint64
+	// Made is when the control goroutine built the view. Traffic refuses to
+	// act on a view that is older than the freshness limit.
+	Made time.Time
+	// Fenced is set while this VM cannot tell whether it still owns its
+	// upstreams. A fenced VM dispatches nothing.
+	Fenced bool
+
+	Domains   Table[Domain]
+	VMs       Table[VM]
+	Upstreams Table[Upstream]
+	Services  Table[Service]
+	Classes   Table[Class]
+	Revisions Table[Revision]
+	// Owners names the owner of each upstream that this VM has judged.
+	Owners Table[Owner]
+}
+
+// Owner assigns an upstream to the VM that holds its connections, queue,
+// limit and warm-up state. Candidates are the VMs that could own it, best
+// first, Name included. Hold is the moment before which a new owner may not
+// dispatch, since the earlier owner's requests may still be in flight.
+type Owner struct {
+	Upstream   string
+	Name       string
+	Candidates []string
+	Hold       time.Time
+}
+
+// Key returns the upstream's name.
+func (o Owner) Key() string { return o.Upstream }
+
+// Owner returns the VM that owns the upstream, and whether there is one.
+func (v *View) Owner(upstream string) (name string, found bool) {
+	o, found := v.Owners.Get(upstream)
+	return o.Name, found && o.Name != ""
+}
+
+// Owns reports whether this VM owns the upstream.
+func (v *View) Owns(upstream string) bool {
+	name, found := v.Owner(upstream)
+	return found && name == v.Self
+}
+
+// DomainOut reports whether operators have marked the failure domain out.
+func (v *View) DomainOut(name string) bool {
+	d, found := v.Domains.Get(name)
+	return found && d.Out
+}
+
+// UpstreamOut reports whether the upstream may receive no new work, because
+// it leaves or because its failure domain is out.
+func (v *View) UpstreamOut(name string) bool {
+	u, found := v.Upstreams.Get(name)
+	return !found || u.Leaving || v.DomainOut(u.Domain)
+}
+
+// VMOut reports whether the VM may receive no new work, because it or its
+// failure domain is marked out or because it leaves.
+func (v *View) VMOut(name string) bool {
+	vm, found := v.VMs.Get(name)
+	if !found {
+		return true
+	}
+	return vm.Out || vm.Health == Leaving || v.DomainOut(vm.Domain)
+}
+
+// Age returns how old the view is at the given moment.
+func (v *View) Age(now time.Time) time.Duration {
+	return now.Sub(v.Made)
+}
+
+// Holder passes the newest View from the control goroutine to traffic.
+type Holder struct {
+	current atomic.Pointer[View]
+}
+
+// NewHolder returns a Holder that holds the given first view.
+func NewHolder(first View) *Holder {
+	h := &Holder{}
+	h.Publish(first)
+	return h
+}
+
+// Load returns the newest view. The caller must not change it.
+func (h *Holder) Load() *View {
+	return h.current.Load()
+}
+
+// Publish makes the view the newest one.
+func (h *Holder) Publish(v View) {
+	h.current.Store(&v)
+}
--- /dev/null
+++ b/internal/driftupstream/http.go
@@ -0,0 +1,164 @@
+package driftupstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/almonddrift/almonddrift/internal/driftshard"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+)
+
+// PathSearch is the resource of an upstream that answers shard requests.
+const PathSearch = "/v1/search"
+
+// maxReplyBytes is the size of the largest reply that is accepted.
+const maxReplyBytes = 8 << 20
+
+// Search is the JSON body of a shard request, as docs/UPSTREAMS.md
+// describes. Deadline is the time that is left, in milliseconds.
+type Search struct {
+	Request  string   `json:"request"`
+	Attempt  string   `json:"attempt"`
+	Shard    string   `json:"shard"`
+	Version  uint64   `json:"version"`
+	Depots   []string `json:"depots"`
+	Text     string   `json:"text"`
+	Once     bool     `json:"once"`
+	Deadline int64    `json:"deadline"`
+}
+
+// Found is the JSON body of an upstream's reply, and of its refusals. Busy
+// and Queue are the upstream's own load report, Retry is in milliseconds.
+type Found struct {
+	Attempt string           `json:"attempt"`
+	Version uint64           `json:"version"`
+	Depots  []string         `json:"depots"`
+	Rows    []driftshard.Row `json:"rows"`
+	Count   int              `json:"count"`
+	Boot    uint64           `json:"boot"`
+	Busy    int              `json:"busy"`
+	Queue   int              `json:"queue"`
+	Retry   int64            `json:"retry"`
+}
+
+// HTTPDialer opens connections that speak the protocol of docs/UPSTREAMS.md.
+type HTTPDialer struct {
+	transport *http.Transport
+}
+
+// NewHTTPDialer returns a Dialer for upstreams that speak HTTP.
+func NewHTTPDialer() *HTTPDialer {
+	return &HTTPDialer{transport: &http.Transport{DisableCompression: true}}
+}
+
+// Dial implements Dialer.
+func (d *HTTPDialer) Dial(ctx context.Context, u drifttable.Upstream) (conn Conn, err error) {
+	defer errors.DeferredAnnotatef(&err, "dialing upstream %q", u.Name)
+	client, err := d.transport.NewClientConn(ctx, "http", u.Address)
+	if err != nil {
+		return nil, err
+	}
+	return &httpConn{client: client, url: "http://" + u.Address + PathSearch}, nil
+}
+
+// httpConn sends each request itself. The body is an opaque reader and the
+// request has no GetBody, so that the library can replay nothing.
+type httpConn struct {
+	client *http.ClientConn
+	url    string
+}
+
+// Close implements Conn.
+func (c *httpConn) Close() error {
+	return c.client.Close()
+}
+
+// Do implements Conn.
+func (c *httpConn) Do(ctx context.Context, r driftshard.Request) Reply {
+	body, err := json.Marshal(search(r))
+	if err != nil {
+		return Failed{Reason: driftshard.ReasonMalformed, Err: err}
+	}
+	tracked := &trackedReader{reader: bytes.NewReader(body)}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, tracked)
+	if err != nil {
+		return Failed{Reason: driftshard.ReasonMalformed, Err: err}
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.client.RoundTrip(req)
+	if err != nil {
+		return Failed{Sent: tracked.read.Load(), Reason: failure(ctx), Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return reply(ctx, resp)
+}
+
+func search(r driftshard.Request) Search {
+	return Search{
+		Request: r.Query, Attempt: r.Attempt, Shard: r.Shard, Version: r.Version,
+		Depots: r.Depots, Text: r.Text, Once: r.Once,
+		Deadline: time.Until(r.Deadline).Milliseconds(),
+	}
+}
+
+func failure(ctx context.Context) driftshard.Reason {
+	if ctx.Err() != nil {
+		return driftshard.ReasonSilent
+	}
+	return driftshard.ReasonUnreachable
+}
+
+func reply(ctx context.Context, resp *http.Response) Reply {
+	var f Found
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return Failed{Sent: true, Reason: failure(ctx), Err: err}
+	}
+	if err := json.Unmarshal(body, &f); err != nil {
+		return Failed{Sent: true, Reason: driftshard.ReasonMalformed, Err: err}
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return answered(f)
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return Shed{Retry: time.Duration(f.Retry) * time.Millisecond, Boot: f.Boot}
+	case http.StatusConflict:
+		return Shed{Boot: f.Boot, Other: true, Version: f.Version}
+	case http.StatusGone:
+		return Parting{}
+	}
+	return Failed{
+		Sent: true, Reason: driftshard.ReasonMalformed,
+		Err: fmt.Errorf("status %d", resp.StatusCode),
+	}
+}
+
+func answered(f Found) Answered {
+	return Answered{
+		Attempt: f.Attempt, Version: f.Version, Depots: f.Depots, Rows: f.Rows,
+		Count: f.Count, Boot: f.Boot,
+		Load: driftshard.Load{Queue: f.Queue, Flight: f.Busy},
+	}
+}
+
+// trackedReader notes whether the library has read the body, after which
+// the request may have reached the upstream.
+type trackedReader struct {
+	reader io.Reader
+	read   atomic.Bool
+}
+
+// Read implements io.Reader.
+func (t *trackedReader) Read(p []byte) (n int, err error) {
+	t.read.Store(true)
+	return t.reader.Read(p)
+}
