Fix the interfaces between front, owner, control and peers

Change: a transport interface that tells whether a call left the VM, handover and observation types, a node without sockets, an in-memory network and a small fleet for tests in virtual time.

--- a/internal/driftcontrol/control.go
+++ b/internal/driftcontrol/control.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	control := driftcontrol.New(self, platform, platform, events, checker)
+//	control := driftcontrol.New(self, platform, platform, transport, events, checker)
 //	go control.Run(ctx)
 //	view := control.Views().Load()
 package driftcontrol
@@ -23,6 +23,7 @@
 	"github.com/almonddrift/almonddrift/internal/driftcheck"
 	"github.com/almonddrift/almonddrift/internal/driftdocument"
 	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftpeer"
 	"github.com/almonddrift/almonddrift/internal/driftplatform"
 	"github.com/almonddrift/almonddrift/internal/drifttable"
 )
@@ -32,6 +33,7 @@
 	self     drifttable.VM
 	config   driftplatform.Config
 	lister   driftplatform.Lister
+	peers    driftpeer.Transport
 	events   driftevent.Recorder
 	checker  *driftcheck.Checker
 	views    *drifttable.Holder
@@ -74,6 +76,7 @@
 	self drifttable.VM,
 	config driftplatform.Config,
 	lister driftplatform.Lister,
+	peers driftpeer.Transport,
 	events driftevent.Recorder,
 	checker *driftcheck.Checker,
 	opts ...Option,
@@ -82,6 +85,7 @@
 		self:      self,
 		config:    config,
 		lister:    lister,
+		peers:     peers,
 		events:    events,
 		checker:   checker,
 		messages:  make(chan message, messageBacklog),
@@ -174,6 +178,8 @@
 		c.events.Record(driftevent.ConfigUnavailable, "", m.key, m.err.Error())
 	case listRead:
 		c.members.apply(m.vms)
+	case observed:
+		return
 	case leaveRequested:
 		c.leaving = true
 		c.events.Record(driftevent.VMLeaving, "", c.self.Name, "")
--- /dev/null
+++ b/internal/driftfake/network.go
@@ -0,0 +1,201 @@
+package driftfake
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/almonddrift/almonddrift/internal/driftpeer"
+	pb "github.com/almonddrift/almonddrift/internal/driftpeer/driftpeerpb"
+)
+
+// Network connects VMs without sockets: it calls the pb.Peer of the target
+// after a delay. Addresses are the names of VMs. It is safe for concurrent
+// use.
+type Network struct {
+	delay func(from, to string) time.Duration
+
+	mu     sync.Mutex
+	peers  map[string]pb.Peer
+	cut    map[link]bool
+	silent map[link]bool
+	calls  map[string]int
+}
+
+// link is one direction between two VMs.
+type link struct {
+	from, to string
+}
+
+// NewNetwork returns a network whose one-way delay is given by a function.
+func NewNetwork(delay func(from, to string) time.Duration) *Network {
+	return &Network{
+		delay: delay, peers: make(map[string]pb.Peer), cut: make(map[link]bool),
+		silent: make(map[link]bool), calls: make(map[string]int),
+	}
+}
+
+// Join puts a VM on the network, or a new incarnation in place of the old.
+func (n *Network) Join(name string, peer pb.Peer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.peers[name] = peer
+}
+
+// Remove takes a VM off the network: calls to it are refused at once.
+func (n *Network) Remove(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.peers, name)
+}
+
+// Cut drops everything from one VM to another, or lets it pass.
+func (n *Network) Cut(from, to string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[link{from, to}] = cut
+}
+
+// Silence makes the shared connections from one VM to another go silent:
+// calls reach nothing and get no answer, while fresh connections work.
+func (n *Network) Silence(from, to string, silent bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silent[link{from, to}] = silent
+}
+
+// Calls returns how many calls of the method all VMs have made.
+func (n *Network) Calls(method string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.calls[method]
+}
+
+// Transport returns the transport of the VM with the given name.
+func (n *Network) Transport(from string) driftpeer.Transport {
+	return &transport{network: n, from: from}
+}
+
+// deliver returns the target after the way there, or an error once ctx ends
+// when the way is cut.
+func (n *Network) deliver(ctx context.Context, l link, fresh bool, method string) (pb.Peer, error) {
+	n.mu.Lock()
+	n.calls[method]++
+	target, found := n.peers[l.to]
+	cut := n.cut[l]
+	silent := n.silent[l] && !fresh
+	n.mu.Unlock()
+	if cut || silent {
+		<-ctx.Done()
+		if cut && fresh {
+			return nil, errors.WithType(ctx.Err(), driftpeer.ErrUnreached)
+		}
+		return nil, ctx.Err()
+	}
+	if err := wait(ctx, n.delay(l.from, l.to)); err != nil {
+		return nil, err
+	}
+	if !found {
+		return nil, errors.WithType(errRefused, driftpeer.ErrUnreached)
+	}
+	return target, nil
+}
+
+// returns lets a reply travel back, or drops it when the way back is cut.
+func (n *Network) returns(ctx context.Context, l link) error {
+	n.mu.Lock()
+	cut := n.cut[link{from: l.to, to: l.from}]
+	n.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return wait(ctx, n.delay(l.to, l.from))
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// transport is the view that one VM has of the network.
+type transport struct {
+	network *Network
+	from    string
+}
+
+// Peer implements driftpeer.Transport.
+func (t *transport) Peer(address string) pb.Peer {
+	return &remote{network: t.network, link: link{t.from, address}}
+}
+
+// Fresh implements driftpeer.Transport.
+func (t *transport) Fresh(address string) pb.Peer {
+	return &remote{network: t.network, link: link{t.from, address}, fresh: true}
+}
+
+// remote is a VM as another VM calls it.
+type remote struct {
+	network *Network
+	link    link
+	fresh   bool
+}
+
+// call carries one call there and its reply back.
+func call[Q, R any](
+	ctx context.Context, r *remote, method string, q Q,
+	do func(pb.Peer, context.Context, Q) (R, error),
+) (reply R, err error) {
+	target, err := r.network.deliver(ctx, r.link, r.fresh, method)
+	if err != nil {
+		return reply, err
+	}
+	reply, err = do(target, ctx, q)
+	if err != nil {
+		return reply, err
+	}
+	return reply, r.network.returns(ctx, r.link)
+}
+
+// Shard implements pb.Peer.
+func (r *remote) Shard(ctx context.Context, q *pb.ShardRequest) (*pb.ShardReply, error) {
+	return call(ctx, r, "Shard", q, pb.Peer.Shard)
+}
+
+// Probe implements pb.Peer.
+func (r *remote) Probe(ctx context.Context, q *pb.ProbeRequest) (*pb.ProbeReply, error) {
+	return call(ctx, r, "Probe", q, pb.Peer.Probe)
+}
+
+// Relay implements pb.Peer.
+func (r *remote) Relay(ctx context.Context, q *pb.RelayRequest) (*pb.ProbeReply, error) {
+	return call(ctx, r, "Relay", q, pb.Peer.Relay)
+}
+
+// Documents implements pb.Peer.
+func (r *remote) Documents(ctx context.Context, q *pb.DocumentsRequest) (*pb.DocumentsReply, error) {
+	return call(ctx, r, "Documents", q, pb.Peer.Documents)
+}
+
+// Handover implements pb.Peer.
+func (r *remote) Handover(ctx context.Context, q *pb.HandoverRequest) (*pb.HandoverReply, error) {
+	return call(ctx, r, "Handover", q, pb.Peer.Handover)
+}
+
+// Timeline implements pb.Peer.
+func (r *remote) Timeline(ctx context.Context, q *pb.TimelineRequest) (*pb.TimelineReply, error) {
+	return call(ctx, r, "Timeline", q, pb.Peer.Timeline)
+}
+
+// Status implements pb.Peer.
+func (r *remote) Status(ctx context.Context, q *pb.StatusRequest) (*pb.StatusReply, error) {
+	return call(ctx, r, "Status", q, pb.Peer.Status)
+}
--- a/internal/driftowner/owner.go
+++ b/internal/driftowner/owner.go
@@ -7,7 +7,8 @@
 //
 // # Usage
 //
-//	owner := driftowner.New(views, dialer, events, checker)
+//	owner := driftowner.New(views, dialer, handover, control, events, checker)
+//	go owner.Run(ctx)
 //	result := owner.Handle(ctx, request)
 package driftowner
 
@@ -26,11 +27,13 @@
 // Owner serves shard requests for the upstreams of one VM. It is safe for
 // concurrent use.
 type Owner struct {
-	views   *drifttable.Holder
-	dialer  driftupstream.Dialer
-	events  driftevent.Recorder
-	checker *driftcheck.Checker
-	fresh   time.Duration
+	views    *drifttable.Holder
+	dialer   driftupstream.Dialer
+	handover driftshard.HandoverSender
+	observer driftshard.Observer
+	events   driftevent.Recorder
+	checker  *driftcheck.Checker
+	fresh    time.Duration
 
 	mu    sync.Mutex
 	lanes map[string]*lane
@@ -51,12 +54,14 @@
 func New(
 	views *drifttable.Holder,
 	dialer driftupstream.Dialer,
+	handover driftshard.HandoverSender,
+	observer driftshard.Observer,
 	events driftevent.Recorder,
 	checker *driftcheck.Checker,
 	opts ...Option,
 ) *Owner {
 	o := &Owner{
-		views: views, dialer: dialer, events: events, checker: checker,
+		views: views, dialer: dialer, handover: handover, observer: observer, events: events, checker: checker,
 		fresh: defaultFresh, lanes: make(map[string]*lane),
 	}
 	for _, opt := range opts {
@@ -65,6 +70,25 @@
 	return o
 }
 
+// tickInterval is the time between two runs of the systems over the lanes.
+const tickInterval = 50 * time.Millisecond
+
+// Run runs the systems over the lanes until ctx ends.
+func (o *Owner) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// ReceiveHandover implements driftshard.HandoverReceiver.
+func (o *Owner) ReceiveHandover(driftshard.Handover) {}
+
 // Handle implements driftshard.Handler.
 func (o *Owner) Handle(ctx context.Context, r driftshard.Request) driftshard.Result {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
--- a/internal/driftserve/callers.go
+++ b/internal/driftserve/callers.go
@@ -9,6 +9,7 @@
 
 	"github.com/almonddrift/almonddrift/internal/driftdocument"
 	"github.com/almonddrift/almonddrift/internal/driftfront"
+	"github.com/almonddrift/almonddrift/internal/driftnode"
 	"github.com/almonddrift/almonddrift/internal/driftshard"
 	"github.com/almonddrift/almonddrift/internal/driftsteer"
 	"github.com/almonddrift/almonddrift/pkg/driftapi"
@@ -34,9 +35,9 @@
 	steer *driftsteer.Steer
 }
 
-func newCallersHandler(front *driftfront.Front, steer *driftsteer.Steer) callersHandler {
+func newCallersHandler(node *driftnode.Node) callersHandler {
 	gin.SetMode(gin.ReleaseMode)
-	c := &callers{front: front, steer: steer}
+	c := &callers{front: node.Front, steer: node.Steer}
 	engine := gin.New()
 	engine.Use(gin.Recovery())
 	engine.GET(driftapi.PathEntries, c.entries)
--- a/internal/driftserve/ops.go
+++ b/internal/driftserve/ops.go
@@ -8,9 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"github.com/almonddrift/almonddrift/internal/driftevent"
-	"github.com/almonddrift/almonddrift/internal/driftowner"
-	"github.com/almonddrift/almonddrift/internal/driftpeer"
+	"github.com/almonddrift/almonddrift/internal/driftnode"
 	pb "github.com/almonddrift/almonddrift/internal/driftpeer/driftpeerpb"
 	"github.com/almonddrift/almonddrift/internal/drifttable"
 )
@@ -23,12 +21,12 @@
 	http.Handler
 }
 
-func newOpsHandler(registry *prometheus.Registry, views *drifttable.Holder) opsHandler {
+func newOpsHandler(registry *prometheus.Registry, node *driftnode.Node) opsHandler {
 	engine := gin.New()
 	engine.Use(gin.Recovery())
 	engine.GET("/metrics", gin.WrapH(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})))
 	engine.GET("/live", func(g *gin.Context) { g.Status(http.StatusOK) })
-	engine.GET("/ready", func(g *gin.Context) { g.Status(readiness(views.Load())) })
+	engine.GET("/ready", func(g *gin.Context) { g.Status(readiness(node.Views().Load())) })
 	return opsHandler{Handler: engine}
 }
 
@@ -45,7 +43,6 @@
 	http.Handler
 }
 
-func newPeersHandler(p *Process, owner *driftowner.Owner, events *driftevent.Log) peersHandler {
-	server := driftpeer.NewServer(p.settings.Name, p.boot, owner, events)
-	return peersHandler{Handler: pb.NewPeerServer(server)}
+func newPeersHandler(node *driftnode.Node) peersHandler {
+	return peersHandler{Handler: pb.NewPeerServer(node.Server)}
 }
--- a/internal/driftserve/process.go
+++ b/internal/driftserve/process.go
@@ -21,15 +21,11 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/almonddrift/almonddrift/internal/driftcheck"
-	"github.com/almonddrift/almonddrift/internal/driftcontrol"
 	"github.com/almonddrift/almonddrift/internal/driftevent"
-	"github.com/almonddrift/almonddrift/internal/driftfront"
-	"github.com/almonddrift/almonddrift/internal/driftowner"
+	"github.com/almonddrift/almonddrift/internal/driftnode"
 	"github.com/almonddrift/almonddrift/internal/driftpeer"
 	"github.com/almonddrift/almonddrift/internal/driftplatform"
 	"github.com/almonddrift/almonddrift/internal/driftsettings"
-	"github.com/almonddrift/almonddrift/internal/driftshard"
-	"github.com/almonddrift/almonddrift/internal/driftsteer"
 	"github.com/almonddrift/almonddrift/internal/drifttable"
 	"github.com/almonddrift/almonddrift/internal/driftupstream"
 )
@@ -44,7 +40,7 @@
 	listeners listeners
 	events    *driftevent.Log
 	checker   *driftcheck.Checker
-	control   *driftcontrol.Control
+	node      *driftnode.Node
 }
 
 // Option changes a Process that New makes.
@@ -115,11 +111,10 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(p, p.settings),
 		fx.Provide(
-			newRegistry, newEvents, newChecker, newPlatform, newControl, newViews,
-			newDialer, newOwner, newRouter, newFront, newSteer, newCallersHandler,
-			newPeersHandler, newOpsHandler,
+			newRegistry, newEvents, newChecker, newPlatform, newTransport, newDialer,
+			newNode, newCallersHandler, newPeersHandler, newOpsHandler,
 		),
-		fx.Invoke(runControl, runListeners),
+		fx.Invoke(runNode, runListeners),
 	)
 	if err := p.app.Err(); err != nil {
 		return err
@@ -131,7 +126,7 @@
 // waits until callers have moved on, lets requests in flight end, and stops.
 func (p *Process) Stop(ctx context.Context) (err error) {
 	defer errors.DeferredAnnotatef(&err, "stopping VM %q", p.settings.Name)
-	p.control.Leave(ctx)
+	p.node.Control.Leave(ctx)
 	return p.app.Stop(ctx)
 }
 
@@ -162,42 +157,26 @@
 	return driftplatform.NewHTTPPlatform("http://"+s.Platform, client)
 }
 
-func newControl(
-	p *Process, platform *driftplatform.HTTPPlatform, events *driftevent.Log, checker *driftcheck.Checker,
-) *driftcontrol.Control {
-	a := p.Addresses()
-	self := drifttable.VM{
-		Name: p.settings.Name, Domain: p.settings.Domain, Boot: p.boot,
-		Callers: a.Callers, Peers: a.Peers,
-	}
-	p.control = driftcontrol.New(self, platform, platform, events, checker)
-	return p.control
-}
-
-func newViews(control *driftcontrol.Control) *drifttable.Holder {
-	return control.Views()
+func newTransport() driftpeer.Transport {
+	return driftpeer.NewHTTPTransport()
 }
 
 func newDialer() driftupstream.Dialer {
 	return driftupstream.NewHTTPDialer()
 }
 
-func newOwner(
-	views *drifttable.Holder, dialer driftupstream.Dialer, events *driftevent.Log, checker *driftcheck.Checker,
-) *driftowner.Owner {
-	return driftowner.New(views, dialer, events, checker)
-}
-
-func newRouter(views *drifttable.Holder, owner *driftowner.Owner) driftshard.Sender {
-	return driftpeer.NewRouter(views, owner)
-}
-
-func newFront(
-	views *drifttable.Holder, sender driftshard.Sender, events *driftevent.Log, checker *driftcheck.Checker,
-) *driftfront.Front {
-	return driftfront.New(views, sender, events, checker)
-}
-
-func newSteer(views *drifttable.Holder, s driftsettings.Settings) *driftsteer.Steer {
-	return driftsteer.New(views, time.Duration(s.Life))
+func newNode(
+	p *Process, platform *driftplatform.HTTPPlatform, transport driftpeer.Transport,
+	dialer driftupstream.Dialer, events *driftevent.Log, checker *driftcheck.Checker,
+) *driftnode.Node {
+	a := p.Addresses()
+	p.node = driftnode.New(driftnode.Parts{
+		Self: drifttable.VM{
+			Name: p.settings.Name, Domain: p.settings.Domain, Boot: p.boot,
+			Callers: a.Callers, Peers: a.Peers,
+		},
+		Config: platform, Lister: platform, Transport: transport, Dialer: dialer,
+		Events: events, Checker: checker, Life: time.Duration(p.settings.Life),
+	})
+	return p.node
 }
--- a/internal/driftserve/run.go
+++ b/internal/driftserve/run.go
@@ -9,8 +9,8 @@
 
 	"go.uber.org/fx"
 
-	"github.com/almonddrift/almonddrift/internal/driftcontrol"
 	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftnode"
 )
 
 // Limits of every listener.
@@ -22,15 +22,15 @@
 	maxHeaderBytes = 64 << 10
 )
 
-// runControl runs the control plane for the life of the process.
-func runControl(lifecycle fx.Lifecycle, control *driftcontrol.Control) {
+// runNode runs the node for the life of the process.
+func runNode(lifecycle fx.Lifecycle, node *driftnode.Node) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() {
 				defer close(done)
-				_ = control.Run(ctx)
+				_ = node.Run(ctx)
 			}()
 			return nil
 		},
--- /dev/null
+++ b/internal/driftshard/handover.go
@@ -0,0 +1,33 @@
+package driftshard
+
+import (
+	"context"
+	"time"
+)
+
+// Handover is the state of an upstream that its earlier owner passes to the
+// new one. The new owner may dispatch once it has a Handover with no request
+// in flight, or once the hold of its view is past.
+type Handover struct {
+	Upstream string
+	From     string
+	Flight   int
+	Limit    int
+	Cold     bool
+	// Boot is the upstream's process incarnation, 0 when unknown.
+	Boot uint64
+	// Service is the smoothed time of one request while warm.
+	Service time.Duration
+	// IDs are the remembered ids of requests that are not idempotent.
+	IDs []string
+}
+
+// HandoverSender passes a Handover to another VM.
+type HandoverSender interface {
+	SendHandover(ctx context.Context, vm string, h Handover) error
+}
+
+// HandoverReceiver takes a Handover from another VM.
+type HandoverReceiver interface {
+	ReceiveHandover(h Handover)
+}
