Demo: callers, script, audit from outside and a report

Cause: the demo sent one query and proved nothing. Change: callers of five classes of work run over loopback while a failure domain goes out and returns cold, an upstream leaves, a VM is replaced and an upstream restarts cold. Stand-ins keep a ledger of each request id, from which the audit checks every answer and refusal apart from the checks inside the program. Status of a VM as a typed report.

--- a/cmd/almonddrift/demo.go
+++ b/cmd/almonddrift/demo.go
@@ -2,37 +2,140 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/mattn/go-isatty"
 
 	"github.com/almonddrift/almonddrift/internal/driftdemo"
 	"github.com/almonddrift/almonddrift/internal/driftfake"
 	"github.com/almonddrift/almonddrift/pkg/driftapi"
-	"github.com/almonddrift/almonddrift/pkg/driftclient"
 )
 
+// errViolated is what a demo ends with that saw a promise broken.
+var errViolated = errors.New("a promise was violated")
+
 // demoCommand runs a whole small fleet in one process.
 type demoCommand struct {
-	User string `help:"Whose fleet: ${enum}." enum:"oshana,tacada" default:"oshana"`
+	User    string  `help:"Whose fleet: ${enum}." enum:"oshana,tacada" default:"oshana"`
+	Seconds float64 `help:"How long callers run. 0 with --hold runs none." default:"12"`
+	JSON    bool    `help:"Print one JSON object."`
+	Hold    bool    `help:"Go on serving after the run, until interrupted, and print the addresses."`
+}
+
+// Help implements kong.HelpProvider.
+func (d *demoCommand) Help() string {
+	return `Runs 8 VMs, stand-in upstreams and a stand-in platform in this process, on loopback.
+Callers run five classes of work while a failure domain is marked out and back in, an
+upstream leaves, a VM is replaced and an upstream restarts cold.
+
+Example: almonddrift demo --user tacada --seconds 20`
+}
+
+// Validate implements kong's validation of flags.
+func (d *demoCommand) Validate() error {
+	const longest = 3600
+	switch {
+	case d.Seconds < 0 || d.Seconds > longest:
+		return fmt.Errorf("--seconds: value %g is not valid (allowed: 0 to %d)", d.Seconds, longest)
+	case d.Seconds == 0 && !d.Hold:
+		return errors.New("--seconds: value 0 is not valid (allowed: above 0, or 0 with --hold)")
+	}
+	return nil
 }
 
 // Run implements the command.
-func (d *demoCommand) Run(ctx context.Context) error {
+func (d *demoCommand) Run(ctx context.Context, out *output) (err error) {
 	size := driftfake.Oshana()
 	if d.User == "tacada" {
 		size = driftfake.Tacada()
 	}
-	demo := driftdemo.New(size)
+	demo := driftdemo.New(size, driftdemo.WithProgress(out.progress))
 	if err := demo.Start(ctx); err != nil {
 		return err
 	}
-	client := driftclient.New(demo.Entries(), driftclient.WithCaller("demo"))
-	answer, err := client.Query(ctx, driftapi.Query{
-		Request: "demo-1", Class: "counter", Text: "church", Deadline: 1000,
-	})
+	defer func() {
+		stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+		defer cancel()
+		err = errors.Join(err, demo.Stop(stopping))
+	}()
+	if d.Seconds > 0 {
+		err = d.measure(ctx, demo, out)
+	}
+	if d.Hold && ctx.Err() == nil {
+		d.hold(ctx, demo, out)
+	}
+	return err
+}
+
+// measure runs the callers and prints what they saw.
+func (d *demoCommand) measure(ctx context.Context, demo *driftdemo.Demo, out *output) error {
+	report, err := demo.Run(ctx, time.Duration(d.Seconds*float64(time.Second)))
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%d rows, coverage %.3f, version %d, %.1f ms\n",
-		len(answer.Rows), answer.Coverage(), answer.Version, answer.Time)
-	return demo.Stop(ctx)
+	if d.JSON {
+		err = out.json(report)
+	} else {
+		err = report.Write(out.stdout)
+	}
+	if err == nil && report.Violations.Total() > 0 {
+		err = errViolated
+	}
+	return err
+}
+
+// hold prints how to reach the fleet and waits until ctx ends.
+func (d *demoCommand) hold(ctx context.Context, demo *driftdemo.Demo, out *output) {
+	w := out.stdout
+	if d.JSON {
+		w = out.stderr
+	}
+	writeAddresses(w, demo)
+	<-ctx.Done()
+}
+
+func writeAddresses(w io.Writer, demo *driftdemo.Demo) {
+	addresses := demo.Addresses()
+	for i, a := range addresses {
+		fmt.Fprintf(w, "VM %d  callers %s  peers %s  ops %s\n", i+1, a.Callers, a.Peers, a.Ops)
+	}
+	first := addresses[0]
+	fmt.Fprintf(w, `
+Ask it yourself:
+curl -s http://%s%s -d '{"request":"r-1","class":"counter","text":"church","deadline":1000}'
+almonddrift query --entry %s --class fire --text church --explain
+almonddrift status --peers %s
+almonddrift timeline --peers %s --request r-1
+Interrupt to stop.
+`, first.Callers, driftapi.PathQuery, first.Callers, first.Peers, first.Peers)
+}
+
+// output is where commands print. Progress goes to a terminal only.
+type output struct {
+	stdout, stderr io.Writer
+	terminal       bool
+}
+
+func newOutput() *output {
+	return &output{
+		stdout: os.Stdout, stderr: os.Stderr, terminal: isatty.IsTerminal(os.Stderr.Fd()),
+	}
+}
+
+func (o *output) progress(line string) {
+	if o.terminal {
+		fmt.Fprintln(o.stderr, line)
+	}
+}
+
+// json prints one JSON value.
+func (o *output) json(value any) error {
+	encoder := json.NewEncoder(o.stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
 }
--- a/cmd/almonddrift/main.go
+++ b/cmd/almonddrift/main.go
@@ -39,6 +39,7 @@
 			os.Exit(code)
 		}),
 		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.Bind(newOutput()),
 	)
 	command, err := parser.Parse(os.Args[1:])
 	parser.FatalIfErrorf(err)
--- a/internal/driftdemo/demo.go
+++ b/internal/driftdemo/demo.go
@@ -1,178 +1,167 @@
 // Package driftdemo runs a whole small fleet in one process: a stand-in
 // platform, stand-in upstreams on loopback, and the VMs of the system over
-// their real listeners.
+// their real listeners. Callers run classes of work against it while a
+// script takes parts of it away and brings them back.
+//
+// What it reports as violated comes from the checks inside the program, and
+// from the accounts that the stand-ins and the callers keep for themselves.
 //
 // # Usage
 //
 //	demo := driftdemo.New(driftfake.Oshana())
 //	err := demo.Start(ctx)
 //	defer demo.Stop(ctx)
-//	client := driftclient.New(demo.Entries())
+//	report, err := demo.Run(ctx, 12*time.Second)
 package driftdemo
 
 import (
 	"context"
-	"fmt"
 	"io"
-	"net"
-	"net/http"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/almonddrift/almonddrift/internal/driftdocument"
 	"github.com/almonddrift/almonddrift/internal/driftfake"
-	"github.com/almonddrift/almonddrift/internal/driftplatform"
 	"github.com/almonddrift/almonddrift/internal/driftserve"
-	"github.com/almonddrift/almonddrift/internal/driftsettings"
 )
 
 // vmCount is the number of entry VMs a user has.
 const vmCount = 8
 
-// anyPort lets the operating system choose a port on loopback.
-const anyPort = "127.0.0.1:0"
-
 // Demo is a fleet in one process.
 type Demo struct {
 	size      driftfake.Size
 	logger    *logrus.Logger
+	progress  func(line string)
+	ledger    *ledger
 	platform  *driftfake.Platform
-	upstreams []*driftfake.Upstream
-	servers   []*http.Server
-	addresses map[string]string
-	processes []*driftserve.Process
+	published listener
+	stands    []*standIn
+
+	mu  sync.Mutex
+	vms []*vm
+}
+
+// Option changes a Demo that New makes.
+type Option func(*Demo)
+
+// WithProgress calls the function with a line for each thing that the
+// script does.
+func WithProgress(progress func(line string)) Option {
+	return func(d *Demo) { d.progress = progress }
+}
+
+// WithLogger sets the logger of all VMs. Without it they log nothing.
+func WithLogger(logger *logrus.Logger) Option {
+	return func(d *Demo) { d.logger = logger }
 }
 
 // New returns a demo of the given size.
-func New(size driftfake.Size) *Demo {
+func New(size driftfake.Size, opts ...Option) *Demo {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	return &Demo{
-		size: size, logger: logger, platform: driftfake.NewPlatform(),
-		upstreams: size.Upstreams(1), addresses: make(map[string]string),
+	d := &Demo{
+		size: size, logger: logger, progress: func(string) {},
+		ledger: newLedger(), platform: driftfake.NewPlatform(),
+	}
+	for _, opt := range opts {
+		opt(d)
 	}
+	d.stands = newStandIns(size, 1, d.ledger)
+	d.published.handler = d.platform
+	return d
 }
 
 // Start starts the stand-ins and the VMs, and waits until all are ready.
 func (d *Demo) Start(ctx context.Context) (err error) {
 	defer errors.DeferredAnnotatef(&err, "starting the demo")
-	for _, u := range d.upstreams {
-		address, err := d.serve(ctx, u, u.ConnState)
-		if err != nil {
+	for _, s := range d.stands {
+		if err := s.open(ctx); err != nil {
 			return err
 		}
-		d.addresses[u.Name] = address
+		s.published.Address = s.address
 	}
-	d.publish()
-	platform, err := d.serve(ctx, d.platform, nil)
-	if err != nil {
-		return err
-	}
-	if err := d.startVMs(ctx, platform); err != nil {
+	if err := d.published.open(ctx); err != nil {
 		return err
 	}
-	return d.waitReady(ctx)
-}
-
-// serve runs a stand-in on loopback and returns its address.
-func (d *Demo) serve(ctx context.Context, handler http.Handler, state func(net.Conn, http.ConnState)) (string, error) {
-	var config net.ListenConfig
-	l, err := config.Listen(ctx, "tcp", anyPort)
-	if err != nil {
-		return "", err
-	}
-	server := &http.Server{Handler: handler, ConnState: state, ReadHeaderTimeout: time.Second}
-	d.servers = append(d.servers, server)
-	go func() { _ = server.Serve(l) }()
-	return l.Addr().String(), nil
+	d.publish()
+	return d.startVMs(ctx)
 }
 
+// publish publishes the documents of the size, and the class that searches
+// a single depot.
 func (d *Demo) publish() {
 	d.platform.Put(driftdocument.KeyDomains, d.size.DomainsDocument())
-	d.platform.Put(driftdocument.KeyClasses, d.size.ClassesDocument())
+	d.platform.Put(driftdocument.KeyClasses, classesDocument(d.size))
 	d.platform.Put(driftdocument.KeyMarks, driftdocument.Marks{})
-	d.platform.Put(driftdocument.KeyUpstreamsPrefix+d.size.Service,
-		d.size.UpstreamsDocument(func(name string) string { return d.addresses[name] }))
+	d.publishUpstreams()
 	d.platform.Put(driftdocument.KeyVersionsPrefix+d.size.Service, d.size.VersionsDocument(1))
 }
 
-func (d *Demo) startVMs(ctx context.Context, platform string) error {
-	var listed []driftplatform.ListedVM
-	for i := range vmCount {
-		settings := driftsettings.Settings{
-			Name: fmt.Sprintf("vm-%d", i+1), Domain: d.size.Domains[i%len(d.size.Domains)],
-			Callers: anyPort, Peers: anyPort, Ops: anyPort, Platform: platform,
-			Life: driftdocument.Duration(time.Second),
-		}
-		p := driftserve.New(settings, driftserve.WithLogger(d.logger))
-		if err := p.Listen(ctx); err != nil {
-			return err
-		}
-		d.processes = append(d.processes, p)
-		a := p.Addresses()
-		listed = append(listed, driftplatform.ListedVM{
-			Name: settings.Name, Domain: settings.Domain, Callers: a.Callers, Peers: a.Peers,
-		})
-	}
-	d.platform.SetVMs(listed...)
-	for _, p := range d.processes {
-		if err := p.Start(ctx); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// waitReady waits until every VM says that it is ready.
-func (d *Demo) waitReady(ctx context.Context) error {
-	for _, p := range d.processes {
-		for !ready(ctx, p.Addresses().Ops) {
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-time.After(10 * time.Millisecond):
-			}
-		}
+// publishUpstreams publishes the upstreams as they are now.
+func (d *Demo) publishUpstreams() {
+	document := driftdocument.Upstreams{Service: d.size.Service}
+	for _, s := range d.stands {
+		document.Upstreams = append(document.Upstreams, s.published)
 	}
-	return nil
+	d.platform.Put(driftdocument.KeyUpstreamsPrefix+d.size.Service, document)
 }
 
-func ready(ctx context.Context, address string) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/ready", http.NoBody)
-	if err != nil {
-		return false
+// Run runs callers and the script for the given time and reports.
+func (d *Demo) Run(ctx context.Context, length time.Duration) (r Report, err error) {
+	defer errors.DeferredAnnotatef(&err, "running the demo")
+	started := time.Now()
+	d.ledger.keep(true)
+	defer d.ledger.keep(false)
+	a := newAudit(d.size, d.ledger, started.Add(length))
+	callers := newCallers(d, a)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return d.runScript(ctx, length, a) })
+	for _, c := range callers {
+		group.Go(func() error {
+			c.run(ctx, a.ends)
+			return nil
+		})
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return false
+	if err := group.Wait(); err != nil {
+		return Report{}, err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	return resp.StatusCode == http.StatusOK
+	d.audit(a)
+	return newReport(a, time.Since(started)), nil
 }
 
 // Entries returns the addresses that callers may connect to.
 func (d *Demo) Entries() []string {
 	var entries []string
-	for _, p := range d.processes {
-		entries = append(entries, p.Addresses().Callers)
+	for _, a := range d.Addresses() {
+		entries = append(entries, a.Callers)
 	}
 	return entries
 }
 
+// Addresses returns where the VMs that serve listen.
+func (d *Demo) Addresses() []driftserve.Addresses {
+	var addresses []driftserve.Addresses
+	for _, v := range d.serving() {
+		addresses = append(addresses, v.process.Addresses())
+	}
+	return addresses
+}
+
 // Stop stops the VMs and the stand-ins.
 func (d *Demo) Stop(ctx context.Context) (err error) {
 	defer errors.DeferredAnnotatef(&err, "stopping the demo")
-	for _, p := range d.processes {
-		if err := p.Stop(ctx); err != nil {
-			return err
-		}
+	if err := d.stopVMs(ctx); err != nil {
+		return err
 	}
-	for _, s := range d.servers {
-		if err := s.Close(); err != nil {
+	for _, s := range d.stands {
+		if err := s.close(); err != nil {
 			return err
 		}
 	}
-	return nil
+	return d.published.close()
 }
--- /dev/null
+++ b/internal/driftdemo/load.go
@@ -0,0 +1,129 @@
+package driftdemo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftdocument"
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+	"github.com/almonddrift/almonddrift/pkg/driftapi"
+	"github.com/almonddrift/almonddrift/pkg/driftclient"
+)
+
+// work is one class of work as the callers send it. Every is the time
+// between two queries of one caller.
+type work struct {
+	class    string
+	every    time.Duration
+	deadline time.Duration
+	// depots is how many depots a query asks for; 0 means all.
+	depots int
+}
+
+// works are the classes of work that every caller mixes.
+var works = []work{
+	{class: "counter", every: 100 * time.Millisecond, deadline: time.Second},
+	{class: "fire", every: 130 * time.Millisecond, deadline: 500 * time.Millisecond},
+	{class: "night", every: 370 * time.Millisecond, deadline: 5 * time.Second},
+	{class: "reserve", every: 170 * time.Millisecond, deadline: time.Second, depots: 1},
+	{class: "depot", every: 110 * time.Millisecond, deadline: time.Second, depots: 1},
+}
+
+// searchText is what the callers search for.
+const searchText = "church"
+
+// classesDocument returns the classes of the size and one more, which
+// searches a single depot.
+func classesDocument(size driftfake.Size) driftdocument.Classes {
+	d := size.ClassesDocument()
+	d.Classes = append(d.Classes, driftdocument.Class{
+		Name: "depot", Service: size.Service, Fast: driftdocument.Duration(30 * time.Millisecond), Whole: 1,
+	})
+	return d
+}
+
+// callersPerDomain is how many callers each failure domain has.
+const callersPerDomain = 2
+
+// caller sends queries of all classes of work to the fleet.
+type caller struct {
+	name   string
+	client *driftclient.Client
+	audit  *audit
+	depots []string
+}
+
+// newCallers returns the callers of all failure domains.
+func newCallers(d *Demo, a *audit) []*caller {
+	var callers []*caller
+	entries := d.Entries()
+	for _, domain := range d.size.Domains {
+		for i := range callersPerDomain {
+			name := fmt.Sprintf("%s-%d", domain, i+1)
+			callers = append(callers, &caller{
+				name: name, audit: a, depots: a.depots,
+				client: driftclient.New(entries, driftclient.WithCaller(name), driftclient.WithDomain(domain)),
+			})
+		}
+	}
+	return callers
+}
+
+// run sends queries until the given moment and waits for their answers.
+func (c *caller) run(ctx context.Context, until time.Time) {
+	var group sync.WaitGroup
+	for _, w := range works {
+		group.Go(func() { c.repeat(ctx, w, until) })
+	}
+	group.Wait()
+}
+
+// repeat sends queries of one class at a steady rate, whether or not earlier
+// ones have been answered.
+func (c *caller) repeat(ctx context.Context, w work, until time.Time) {
+	ticker := time.NewTicker(w.every)
+	defer ticker.Stop()
+	var group sync.WaitGroup
+	defer group.Wait()
+	for n := 0; time.Now().Before(until); n++ {
+		group.Go(func() { c.query(ctx, w, n) })
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// query sends one query and gives its outcome to the audit.
+func (c *caller) query(ctx context.Context, w work, n int) {
+	q := driftapi.Query{
+		Request: fmt.Sprintf("%s-%s-%d", w.class, c.name, n), Class: w.class, Text: searchText,
+		Deadline: w.deadline.Milliseconds(), Depots: c.choose(w, n),
+	}
+	started := time.Now()
+	answer, err := c.client.Query(ctx, q)
+	took := time.Since(started)
+	if err == nil {
+		c.audit.answered(q, answer, took)
+		return
+	}
+	var refusal driftapi.Refusal
+	if !errors.As(err, &refusal) {
+		refusal = driftapi.Refusal{Request: q.Request, Ran: driftapi.RanUnknown, Reason: err.Error()}
+	}
+	c.audit.refused(q, refusal, took)
+}
+
+// choose returns the depots of the n-th query, none for all.
+func (c *caller) choose(w work, n int) []string {
+	if w.depots == 0 {
+		return nil
+	}
+	first := n % len(c.depots)
+	last := min(first+w.depots, len(c.depots))
+	return c.depots[first:last]
+}
--- /dev/null
+++ b/internal/driftdemo/report.go
@@ -0,0 +1,130 @@
+package driftdemo
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftcheck"
+)
+
+// columnGap is the number of spaces between two columns.
+const columnGap = 2
+
+// Report is what a run has shown.
+type Report struct {
+	Classes    []Class    `json:"classes"`
+	Violations Violations `json:"violations"`
+	// Seconds is how long the run took.
+	Seconds float64 `json:"seconds"`
+	// Findings are the first violations in words.
+	Findings []string `json:"-"`
+}
+
+// Class is what the callers saw of one class of work. Times are in
+// milliseconds and those of answers; Coverage and Least are the mean and the
+// least share of the depots that an answer searched. Extra is the load on
+// upstreams beyond one request a shard, as a share of it.
+type Class struct {
+	Name     string  `json:"name"`
+	Queries  int     `json:"queries"`
+	P50      float64 `json:"p50"`
+	P99      float64 `json:"p99"`
+	Coverage float64 `json:"coverage"`
+	Least    float64 `json:"least"`
+	Refused  int     `json:"refused"`
+	Extra    float64 `json:"extra"`
+}
+
+// Violations is the number of violations of each promise. JSON writes it as
+// one object.
+type Violations []driftcheck.Count
+
+// Total returns the number of violations of all promises.
+func (v Violations) Total() uint64 {
+	var total uint64
+	for _, c := range v {
+		total += c.Number
+	}
+	return total
+}
+
+// MarshalJSON implements json.Marshaler.
+func (v Violations) MarshalJSON() ([]byte, error) {
+	var b bytes.Buffer
+	b.WriteByte('{')
+	for i, c := range v {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		name, err := json.Marshal(c.Promise)
+		if err != nil {
+			return nil, err
+		}
+		fmt.Fprintf(&b, "%s:%d", name, c.Number)
+	}
+	b.WriteByte('}')
+	return b.Bytes(), nil
+}
+
+// newReport sums up an audit.
+func newReport(a *audit, length time.Duration) Report {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := Report{Violations: a.counts, Seconds: length.Seconds(), Findings: a.findings}
+	for _, t := range a.tallies {
+		r.Classes = append(r.Classes, t.report(a.ledger))
+	}
+	return r
+}
+
+func (t *tally) report(l *ledger) Class {
+	c := Class{
+		Name: t.class, Queries: t.queries, Refused: t.refused, Least: t.least,
+		P50: float64(t.times.ValueAtQuantile(50)) / 1000,
+		P99: float64(t.times.ValueAtQuantile(99)) / 1000,
+	}
+	if answered := t.queries - t.refused; answered > 0 {
+		c.Coverage = t.coverage / float64(answered)
+	}
+	var first, extra int
+	for _, request := range t.requests {
+		f, e := l.load(request)
+		first, extra = first+f, extra+e
+	}
+	if first > 0 {
+		c.Extra = float64(extra) / float64(first)
+	}
+	return c
+}
+
+// Write writes the report as tables for people.
+func (r Report) Write(w io.Writer) (err error) {
+	var table, rest strings.Builder
+	table.WriteString("class\tqueries\tp50 ms\tp99 ms\tcoverage\tleast\trefused\textra load\t\n")
+	for _, c := range r.Classes {
+		fmt.Fprintf(&table, "%s\t%d\t%.1f\t%.1f\t%.4f\t%.3f\t%d\t%.1f%%\t\n",
+			c.Name, c.Queries, c.P50, c.P99, c.Coverage, c.Least, c.Refused, 100*c.Extra)
+	}
+	aligned := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', tabwriter.AlignRight)
+	if _, err := io.WriteString(aligned, table.String()); err != nil {
+		return err
+	}
+	if err := aligned.Flush(); err != nil {
+		return err
+	}
+	rest.WriteString("\nviolations:")
+	for _, c := range r.Violations {
+		fmt.Fprintf(&rest, " %s %d", c.Promise, c.Number)
+	}
+	fmt.Fprintf(&rest, "\n%.1f s\n", r.Seconds)
+	for _, f := range r.Findings {
+		fmt.Fprintf(&rest, "violated %s\n", f)
+	}
+	_, err = io.WriteString(w, rest.String())
+	return err
+}
--- /dev/null
+++ b/internal/driftdemo/standin.go
@@ -0,0 +1,120 @@
+package driftdemo
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/almonddrift/almonddrift/internal/driftdocument"
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+)
+
+// anyPort lets the operating system choose a port on loopback.
+const anyPort = "127.0.0.1:0"
+
+// Limits of the listeners of stand-ins.
+const (
+	headerTimeout  = 5 * time.Second
+	readTimeout    = 30 * time.Second
+	writeTimeout   = time.Minute
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+)
+
+// listener serves a stand-in on an address of loopback that stays its own
+// while it restarts.
+type listener struct {
+	handler http.Handler
+	state   func(net.Conn, http.ConnState)
+	address string
+
+	mu     sync.Mutex
+	server *http.Server
+}
+
+// open starts to listen, at the address of before if there was one.
+func (l *listener) open(ctx context.Context) (err error) {
+	defer errors.DeferredAnnotatef(&err, "stand-in at %q", l.address)
+	address := l.address
+	if address == "" {
+		address = anyPort
+	}
+	var config net.ListenConfig
+	socket, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler: l.handler, ConnState: l.state, ReadHeaderTimeout: headerTimeout,
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
+	l.mu.Lock()
+	l.address, l.server = socket.Addr().String(), server
+	l.mu.Unlock()
+	go func() { _ = server.Serve(socket) }()
+	return nil
+}
+
+// close resets all connections and refuses new ones, as a process that dies
+// does.
+func (l *listener) close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.server == nil {
+		return nil
+	}
+	return l.server.Close()
+}
+
+// standIn is an upstream on loopback, with what the platform publishes of it.
+type standIn struct {
+	listener
+	upstream  *driftfake.Upstream
+	published driftdocument.Upstream
+}
+
+// newStandIns returns the upstreams of a size, watched by the ledger.
+func newStandIns(size driftfake.Size, seed uint64, l *ledger) []*standIn {
+	documents := size.UpstreamsDocument(func(string) string { return "" }).Upstreams
+	upstreams := size.Upstreams(seed)
+	stands := make([]*standIn, 0, len(upstreams))
+	for i, u := range upstreams {
+		s := &standIn{upstream: u, published: documents[i]}
+		s.handler = l.watch(documents[i].Domain, u)
+		s.state = u.ConnState
+		stands = append(stands, s)
+	}
+	return stands
+}
+
+// downTime is how long an upstream refuses connections while it restarts.
+const downTime = 100 * time.Millisecond
+
+// restart stops the upstream and starts it cold, as a new process.
+func (s *standIn) restart(ctx context.Context) error {
+	if err := s.close(); err != nil {
+		return err
+	}
+	s.upstream.Restart()
+	if err := pause(ctx, downTime); err != nil {
+		return err
+	}
+	return s.open(ctx)
+}
+
+// pause waits for a while or until ctx ends.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/driftnode/node.go
+++ b/internal/driftnode/node.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -26,6 +27,7 @@
 	"github.com/almonddrift/almonddrift/internal/driftowner"
 	"github.com/almonddrift/almonddrift/internal/driftpeer"
 	"github.com/almonddrift/almonddrift/internal/driftplatform"
+	"github.com/almonddrift/almonddrift/internal/driftstatus"
 	"github.com/almonddrift/almonddrift/internal/driftsteer"
 	"github.com/almonddrift/almonddrift/internal/drifttable"
 	"github.com/almonddrift/almonddrift/internal/driftupstream"
@@ -86,7 +88,19 @@
 	return n.Control.Views()
 }
 
+// Status returns what this VM sees.
+func (n *Node) Status() driftstatus.Report {
+	return driftstatus.NewReport(driftstatus.Sources{
+		View: n.Views().Load(), Boot: n.Self.Boot, Config: -time.Millisecond,
+		Violations: n.Checker.Violations(),
+	}, time.Now())
+}
+
 // Report implements driftpeer.Reporter.
 func (n *Node) Report() []byte {
-	return []byte("{}")
+	body, err := json.Marshal(n.Status())
+	if err != nil {
+		return []byte("{}")
+	}
+	return body
 }
--- a/internal/driftserve/process.go
+++ b/internal/driftserve/process.go
@@ -26,6 +26,7 @@
 	"github.com/almonddrift/almonddrift/internal/driftpeer"
 	"github.com/almonddrift/almonddrift/internal/driftplatform"
 	"github.com/almonddrift/almonddrift/internal/driftsettings"
+	"github.com/almonddrift/almonddrift/internal/driftstatus"
 	"github.com/almonddrift/almonddrift/internal/drifttable"
 	"github.com/almonddrift/almonddrift/internal/driftupstream"
 )
@@ -135,6 +136,11 @@
 	return p.checker
 }
 
+// Report returns what the VM sees.
+func (p *Process) Report() driftstatus.Report {
+	return p.node.Status()
+}
+
 func newRegistry() *prometheus.Registry {
 	return prometheus.NewRegistry()
 }
