Measure the processor time of a shard request beside a bare fan-out

Cause: the cost of front, owner and hop decides the fleet's size and needs a figure that every later change can be held against. Change: a benchmark over two VMs and a bare net/http fan-out in one process.

--- /dev/null
+++ b/internal/driftnode/cost_test.go
@@ -0,0 +1,184 @@
+package driftnode_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almonddrift/almonddrift/internal/driftcheck"
+	"github.com/almonddrift/almonddrift/internal/driftdocument"
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+	"github.com/almonddrift/almonddrift/internal/driftfront"
+	"github.com/almonddrift/almonddrift/internal/driftnode"
+	"github.com/almonddrift/almonddrift/internal/driftpeer"
+	"github.com/almonddrift/almonddrift/internal/driftplatform"
+	"github.com/almonddrift/almonddrift/internal/driftshard"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+	"github.com/almonddrift/almonddrift/internal/driftupstream"
+	"github.com/almonddrift/almonddrift/pkg/driftapi"
+)
+
+// shards is the number of shards of the measured query.
+const shards = 10
+
+// settle is how long the nodes run before the measurement.
+const settle = 4 * time.Second
+
+// BenchmarkShardRequest measures the processor time of one shard request,
+// with both VMs and the stand-in for the upstreams in this process. The
+// queries run on eight goroutines for each processor.
+func BenchmarkShardRequest(b *testing.B) {
+	upstream := httptest.NewServer(http.HandlerFunc(answerAtOnce))
+	defer upstream.Close()
+	address := upstream.Listener.Addr().String()
+	b.Run("bare", func(b *testing.B) {
+		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000, DisableCompression: true}}
+		measure(b, func(id string) { fanOut(b, client, address, id) })
+	})
+	b.Run("owner is the same VM", func(b *testing.B) {
+		node := start(b, address, "here")
+		measure(b, func(id string) { query(b, node, id) })
+	})
+	b.Run("owner is another VM", func(b *testing.B) {
+		node := start(b, address, "there")
+		measure(b, func(id string) { query(b, node, id) })
+	})
+}
+
+// answerAtOnce is an upstream that costs as little as it can.
+func answerAtOnce(w http.ResponseWriter, r *http.Request) {
+	var s driftupstream.Search
+	if err := json.NewDecoder(r.Body).Decode(&s); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	f := driftupstream.Found{Attempt: s.Attempt, Version: s.Version, Depots: s.Depots, Boot: 1}
+	for _, d := range s.Depots {
+		f.Rows = append(f.Rows, driftshard.Row{Depot: d, Text: s.Text})
+	}
+	f.Count = len(f.Rows)
+	_ = json.NewEncoder(w).Encode(f)
+}
+
+// fanOut is the baseline: one request a shard straight to the upstream.
+func fanOut(b *testing.B, client *http.Client, address, id string) {
+	b.Helper()
+	var group sync.WaitGroup
+	for i := range shards {
+		group.Go(func() {
+			body, _ := json.Marshal(driftupstream.Search{
+				Request: id, Attempt: id + "/" + strconv.Itoa(i), Version: 1,
+				Depots: []string{"depot-1", "depot-2"}, Text: "church",
+			})
+			resp, err := client.Post("http://"+address+driftupstream.PathSearch, "application/json", bytes.NewReader(body))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			defer func() { _ = resp.Body.Close() }()
+			reply, _ := io.ReadAll(resp.Body)
+			var f driftupstream.Found
+			if err := json.Unmarshal(reply, &f); err != nil || f.Count != 2 {
+				b.Error("short reply", err)
+			}
+		})
+	}
+	group.Wait()
+}
+
+func query(b *testing.B, node *driftnode.Node, id string) {
+	b.Helper()
+	outcome := node.Front.Query(b.Context(), driftapi.Query{
+		Request: id, Class: "counter", Text: "church", Deadline: 10_000,
+	})
+	answered, ok := outcome.(driftfront.Answered)
+	if !ok || !answered.Answer.Complete {
+		b.Errorf("not answered whole: %+v", outcome)
+	}
+}
+
+// measure reports the processor time a shard request.
+func measure(b *testing.B, do func(id string)) {
+	b.Helper()
+	b.ReportAllocs()
+	for i := range 200 {
+		do("warm-" + strconv.Itoa(i))
+	}
+	b.ResetTimer()
+	before := processorTime(b)
+	var worker sync.Mutex
+	workers := 0
+	b.RunParallel(func(p *testing.PB) {
+		worker.Lock()
+		workers++
+		prefix := "q-" + strconv.Itoa(workers) + "-"
+		worker.Unlock()
+		for i := 0; p.Next(); i++ {
+			do(prefix + strconv.Itoa(i))
+		}
+	})
+	used := processorTime(b) - before
+	b.ReportMetric(float64(used)/float64(b.N*shards), "cpu-ns/shard")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// start runs two VMs, "here" and "there", in failure domains of their own
+// with all upstreams in the given one, and returns the VM "here".
+func start(b *testing.B, upstream, domain string) *driftnode.Node {
+	b.Helper()
+	platform := driftfake.NewPlatform()
+	size := driftfake.Size{
+		Service: "counter", Domains: []string{domain}, Shards: shards, Depots: 2,
+		Slots: 64, Connections: 200, Opening: time.Millisecond,
+	}
+	platform.Put(driftdocument.KeyDomains, driftfake.Size{Domains: []string{"here", "there"}}.DomainsDocument())
+	platform.Put(driftdocument.KeyClasses, size.ClassesDocument())
+	platform.Put(driftdocument.KeyMarks, driftdocument.Marks{})
+	platform.Put(driftdocument.KeyUpstreamsPrefix+"counter", size.UpstreamsDocument(func(string) string { return upstream }))
+	platform.Put(driftdocument.KeyVersionsPrefix+"counter", size.VersionsDocument(1))
+	transport := driftpeer.NewHTTPTransport()
+	b.Cleanup(transport.Close)
+	var listed []driftplatform.ListedVM
+	nodes := make(map[string]*driftnode.Node)
+	for _, name := range []string{"here", "there"} {
+		listener := httptest.NewUnstartedServer(nil)
+		address := listener.Listener.Addr().String()
+		events := driftevent.NewLog(name, 1)
+		node := driftnode.New(driftnode.Parts{
+			Self:   drifttable.VM{Name: name, Domain: name, Boot: 1, Callers: address, Peers: address},
+			Config: platform, Lister: platform, Transport: transport, Dialer: driftupstream.NewHTTPDialer(),
+			Events: events, Checker: driftcheck.NewChecker(events), Life: time.Second,
+		})
+		listener.Config.Handler = node.Server.Handler()
+		listener.Start()
+		b.Cleanup(listener.Close)
+		b.Cleanup(node.Server.Close)
+		listed = append(listed, driftplatform.ListedVM{Name: name, Domain: name, Callers: address, Peers: address})
+		nodes[name] = node
+	}
+	platform.SetVMs(listed...)
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(cancel)
+	for _, node := range nodes {
+		go func() { _ = node.Run(ctx) }()
+	}
+	time.Sleep(settle)
+	return nodes["here"]
+}
