--- a/internal/driftnode/cost_test.go
+++ b/internal/driftnode/cost_test.go
@@ -81,7 +81,13 @@
 				Request: id, Attempt: id + "/" + strconv.Itoa(i), Version: 1,
 				Depots: []string{"depot-1", "depot-2"}, Text: "church",
 			})
-			resp, err := client.Post("http://"+address+driftupstream.PathSearch, "application/json", bytes.NewReader(body))
+			target := "http://" + address + driftupstream.PathSearch
+			req, err := http.NewRequestWithContext(b.Context(), http.MethodPost, target, bytes.NewReader(body))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			resp, err := client.Do(req)
 			if err != nil {
 				b.Error(err)
 				return
