Command line: serve flags, query, check, status, timeline, version

Cause: operators had serve and a demo of one query. Change: every command with help and an example, JSON, exit codes 0, 1 and 2, tested by testscript against a fleet on loopback. Status gathers a typed report of every VM that any VM lists and flags those that differ. The time line is ordered causally along attempts and by clocks otherwise, as text, JSON or trace file. Validation errors name field, value and what is allowed, those of JSON types and durations too. Ruled out: ordering the left-over events of a circle by clocks: it broke the order of one VM's own events; a second sort without the attempts keeps it.

--- /dev/null
+++ b/cmd/almonddrift/check.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"github.com/almonddrift/almonddrift/internal/driftdocument"
+	"github.com/almonddrift/almonddrift/internal/driftsettings"
+)
+
+// keySettings stands for settings where a document has its key.
+const keySettings = "settings"
+
+// checkCommand validates a file before it is used.
+type checkCommand struct {
+	File string `arg:"" help:"Settings or a document, as JSON." type:"existingfile"`
+	Key  string `help:"settings, or the key of the document. Without it the content tells."`
+	JSON bool   `help:"Print JSON."`
+}
+
+// Help implements kong.HelpProvider.
+func (c *checkCommand) Help() string {
+	return `Keys: settings, domains, classes, marks, upstreams/SERVICE, versions/SERVICE.
+Names the field, its value and what is allowed. Exits with 1 when the file is not valid.
+
+Example: almonddrift check --key classes classes.json`
+}
+
+// verdict is what came of a check.
+type verdict struct {
+	File    string `json:"file"`
+	Key     string `json:"key"`
+	Valid   bool   `json:"valid"`
+	Field   string `json:"field,omitempty"`
+	Value   string `json:"value,omitempty"`
+	Allowed string `json:"allowed,omitempty"`
+	Error   string `json:"error,omitempty"`
+}
+
+// Write implements textWriter.
+func (v verdict) Write(w io.Writer) error {
+	text := fmt.Sprintf("%s: valid %s\n", v.File, v.Key)
+	if !v.Valid {
+		text = fmt.Sprintf("%s: not valid as %s\n", v.File, v.Key)
+	}
+	_, err := io.WriteString(w, text)
+	return err
+}
+
+// Run implements the command.
+func (c *checkCommand) Run(out *output) error {
+	body, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	key := c.Key
+	if key == "" {
+		if key, err = guessKey(body); err != nil {
+			return err
+		}
+	}
+	failure := validate(key, body)
+	if errors.Is(failure, errors.NotFound) {
+		return fmt.Errorf("%w: --key: value %q is not valid (allowed: settings, domains, classes, marks, "+
+			"upstreams/SERVICE, versions/SERVICE)", errUsage, key)
+	}
+	if err := out.print(c.JSON, newVerdict(c.File, key, failure)); err != nil {
+		return err
+	}
+	return failure
+}
+
+func validate(key string, body []byte) error {
+	if key == keySettings {
+		_, err := driftsettings.Parse(body)
+		return err
+	}
+	_, err := driftdocument.Parse(key, body)
+	return err
+}
+
+func newVerdict(file, key string, failure error) verdict {
+	v := verdict{File: file, Key: key, Valid: failure == nil}
+	if failure == nil {
+		return v
+	}
+	v.Error = failure.Error()
+	var field driftdocument.FieldError
+	if errors.As(failure, &field) {
+		v.Field, v.Value, v.Allowed = field.Field, field.Value, field.Allowed
+	}
+	return v
+}
+
+// guess is what the fields of a file tell about its kind.
+type guess struct {
+	Platform  json.RawMessage `json:"platform"`
+	Callers   json.RawMessage `json:"callers"`
+	Classes   json.RawMessage `json:"classes"`
+	Upstreams json.RawMessage `json:"upstreams"`
+	Versions  json.RawMessage `json:"versions"`
+	VMs       json.RawMessage `json:"vms"`
+	Domains   json.RawMessage `json:"domains"`
+}
+
+// guessKey returns the key of a document by its content.
+func guessKey(body []byte) (key string, err error) {
+	var g guess
+	if err := json.Unmarshal(body, &g); err != nil {
+		return "", errors.Annotate(err, "the kind of file cannot be told (use --key)")
+	}
+	switch {
+	case g.Platform != nil || g.Callers != nil:
+		return keySettings, nil
+	case g.Classes != nil:
+		return driftdocument.KeyClasses, nil
+	case g.Upstreams != nil:
+		return driftdocument.KeyUpstreamsPrefix + "service", nil
+	case g.Versions != nil:
+		return driftdocument.KeyVersionsPrefix + "service", nil
+	case g.Domains != nil && strings.Contains(string(g.Domains), "{"):
+		return driftdocument.KeyDomains, nil
+	case g.VMs != nil || g.Domains != nil:
+		return driftdocument.KeyMarks, nil
+	}
+	return "", errors.New("the kind of file cannot be told from its fields; use --key")
+}
--- a/cmd/almonddrift/demo.go
+++ b/cmd/almonddrift/demo.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"os"
 	"time"
 
-	"github.com/mattn/go-isatty"
-
 	"github.com/almonddrift/almonddrift/internal/driftdemo"
 	"github.com/almonddrift/almonddrift/internal/driftfake"
 	"github.com/almonddrift/almonddrift/pkg/driftapi"
@@ -78,11 +74,7 @@
 	if err != nil {
 		return err
 	}
-	if d.JSON {
-		err = out.json(report)
-	} else {
-		err = report.Write(out.stdout)
-	}
+	err = out.print(d.JSON, report)
 	if err == nil && report.Violations.Total() > 0 {
 		err = errViolated
 	}
@@ -114,28 +106,3 @@
 Interrupt to stop.
 `, first.Callers, driftapi.PathQuery, first.Callers, first.Peers, first.Peers)
 }
-
-// output is where commands print. Progress goes to a terminal only.
-type output struct {
-	stdout, stderr io.Writer
-	terminal       bool
-}
-
-func newOutput() *output {
-	return &output{
-		stdout: os.Stdout, stderr: os.Stderr, terminal: isatty.IsTerminal(os.Stderr.Fd()),
-	}
-}
-
-func (o *output) progress(line string) {
-	if o.terminal {
-		fmt.Fprintln(o.stderr, line)
-	}
-}
-
-// json prints one JSON value.
-func (o *output) json(value any) error {
-	encoder := json.NewEncoder(o.stdout)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(value)
-}
--- a/cmd/almonddrift/main.go
+++ b/cmd/almonddrift/main.go
@@ -1,10 +1,14 @@
 // Command almonddrift is a query tier over many shards. Run
 // "almonddrift --help" for its commands and "almonddrift demo" to see it
 // work.
+//
+// It exits with 0 when a command has done its work, 1 when it failed and 2
+// when it was used wrongly.
 package main
 
 import (
 	"context"
+	"errors"
 	"os"
 	"os/signal"
 	"syscall"
@@ -20,31 +24,46 @@
 
 // cli is the command line.
 type cli struct {
-	Serve serveCommand `cmd:"" help:"Run one VM. Example: almonddrift serve --settings vm-1.json"`
-	Demo  demoCommand  `cmd:"" help:"Run a whole small fleet in one process. Example: almonddrift demo --user tacada"`
+	Serve    serveCommand    `cmd:"" help:"Run one VM."`
+	Query    queryCommand    `cmd:"" help:"Send a query as a caller."`
+	Check    checkCommand    `cmd:"" help:"Check settings, or a document that is about to be published."`
+	Status   statusCommand   `cmd:"" help:"Show what each VM sees, and which VMs differ."`
+	Timeline timelineCommand `cmd:"" help:"Show the events of all VMs in order."`
+	Demo     demoCommand     `cmd:"" help:"Run a whole small fleet in one process."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
 
+// errUsage is the cause of an error in how a command was used.
+var errUsage = errors.New("usage")
+
 func main() {
+	os.Exit(run())
+}
+
+// run runs the command line and returns the exit code.
+func run() int {
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	var c cli
 	parser := kong.Must(&c,
 		kong.Name("almonddrift"),
 		kong.Description("A query tier that answers whole, truthfully and in time from many shards."),
-		kong.UsageOnError(),
-		kong.Exit(func(code int) {
-			if code != 0 {
-				code = exitUsage
-			}
-			os.Exit(code)
-		}),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 		kong.BindTo(ctx, (*context.Context)(nil)),
 		kong.Bind(newOutput()),
 	)
 	command, err := parser.Parse(os.Args[1:])
-	parser.FatalIfErrorf(err)
-	if err := command.Run(); err != nil {
+	if err != nil {
 		parser.Errorf("%v", err)
-		os.Exit(exitFailed)
+		return exitUsage
+	}
+	err = command.Run()
+	if err == nil {
+		return 0
+	}
+	parser.Errorf("%v", err)
+	if errors.Is(err, errUsage) {
+		return exitUsage
 	}
+	return exitFailed
 }
--- /dev/null
+++ b/cmd/almonddrift/main_test.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os/exec"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/almonddrift/almonddrift/internal/driftdemo"
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"almonddrift": main})
+}
+
+// TestScripts runs the scripts in testdata against a fleet on loopback, whose
+// first VM they find in ENTRY and PEERS.
+func TestScripts(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	demo := driftdemo.New(driftfake.Oshana())
+	require.NoError(t, demo.Start(ctx))
+	t.Cleanup(func() {
+		assert.NoError(t, demo.Stop(ctx))
+		cancel()
+	})
+	first := demo.Addresses()[0]
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("ENTRY", first.Callers)
+			env.Setenv("PEERS", first.Peers)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exits": exits},
+	})
+}
+
+// exits runs a command and asserts its exit code: exits CODE COMMAND [ARG]...
+func exits(ts *testscript.TestScript, neg bool, args []string) {
+	const least = 2
+	if neg || len(args) < least {
+		ts.Fatalf("usage: exits CODE COMMAND [ARG]...")
+	}
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	err = ts.Exec(args[1], args[2:]...)
+	var got int
+	var failure *exec.ExitError
+	if errors.As(err, &failure) {
+		got = failure.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
--- a/cmd/almonddrift/serve.go
+++ b/cmd/almonddrift/serve.go
@@ -13,12 +13,29 @@
 
 // serveCommand runs one VM until it is told to stop.
 type serveCommand struct {
-	Settings string `help:"JSON settings file." required:"" type:"existingfile"`
+	Settings string `help:"JSON settings file." type:"existingfile"`
+	Name     string `help:"The VM's name, unique in the fleet."`
+	Domain   string `help:"The VM's failure domain."`
+	Callers  string `help:"IP number and port to listen on for callers."`
+	Peers    string `help:"IP number and port to listen on for other VMs."`
+	Ops      string `help:"IP number and port to listen on for operators."`
+	Platform string `help:"IP number and port of the platform."`
+	Log      string `help:"Lowest severity that is logged: debug, info, warning or error."`
+}
+
+// Help implements kong.HelpProvider.
+func (s *serveCommand) Help() string {
+	return `Settings come from the file; flags override them. SIGTERM stops the VM gracefully.
+
+Example: almonddrift serve --settings vm-1.json --log warning`
 }
 
 // Run implements the command.
 func (s *serveCommand) Run(ctx context.Context) error {
-	settings, err := driftsettings.Read(s.Settings)
+	settings, err := driftsettings.Load(s.Settings, driftsettings.Settings{
+		Name: s.Name, Domain: s.Domain, Callers: s.Callers, Peers: s.Peers,
+		Ops: s.Ops, Platform: s.Platform, Log: s.Log,
+	})
 	if err != nil {
 		return err
 	}
@@ -27,7 +44,7 @@
 		return err
 	}
 	<-ctx.Done()
-	stopping, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
 	return process.Stop(stopping)
 }
--- a/internal/driftdocument/document.go
+++ b/internal/driftdocument/document.go
@@ -17,12 +17,11 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"io"
+	"reflect"
 	"strings"
 	"time"
 
-	"github.com/go-playground/validator/v10"
 	"github.com/juju/errors"
 )
 
@@ -120,11 +119,11 @@
 func (d *Duration) UnmarshalJSON(data []byte) error {
 	var text string
 	if err := json.Unmarshal(data, &text); err != nil {
-		return fmt.Errorf("duration %s is not a string such as \"40ms\"", data)
+		return &json.UnmarshalTypeError{Value: string(data), Type: reflect.TypeFor[Duration]()}
 	}
 	value, err := time.ParseDuration(text)
 	if err != nil {
-		return fmt.Errorf("duration %q is not like \"40ms\"", text)
+		return &json.UnmarshalTypeError{Value: text, Type: reflect.TypeFor[Duration]()}
 	}
 	*d = Duration(value)
 	return nil
@@ -198,49 +197,10 @@
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(target); err != nil {
-		return errors.NewNotValid(err, "malformed JSON")
+		return errors.NewNotValid(decodeError(err), "malformed JSON")
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return errors.NotValidf("data after the JSON value")
 	}
 	return nil
 }
-
-// Validate checks the validate tags of a struct. The error names field,
-// value and what is allowed, and satisfies errors.Is(err, errors.NotValid).
-func Validate(value any) error {
-	err := validate.Struct(value)
-	if err == nil {
-		return nil
-	}
-	var fields validator.ValidationErrors
-	if !errors.As(err, &fields) {
-		return err
-	}
-	f := fields[0]
-	allowed := f.Tag()
-	if f.Param() != "" {
-		allowed += " " + f.Param()
-	}
-	return errors.NewNotValid(FieldError{
-		Field: fieldPath(f.Namespace()), Value: fmt.Sprint(f.Value()), Allowed: allowed,
-	}, "")
-}
-
-// FieldError is a field whose value is not allowed.
-type FieldError struct {
-	Field, Value, Allowed string
-}
-
-// Error implements error.
-func (e FieldError) Error() string {
-	return fmt.Sprintf("field %s: value %s is not valid (allowed: %s)", e.Field, e.Value, e.Allowed)
-}
-
-func fieldPath(namespace string) string {
-	_, path, found := strings.Cut(namespace, ".")
-	if !found {
-		return namespace
-	}
-	return path
-}
--- /dev/null
+++ b/internal/driftdocument/field.go
@@ -0,0 +1,122 @@
+package driftdocument
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/juju/errors"
+)
+
+// FieldError is a field whose value is not allowed.
+type FieldError struct {
+	Field, Value, Allowed string
+}
+
+// Error implements error.
+func (e FieldError) Error() string {
+	return fmt.Sprintf("field %s: value %s is not valid (allowed: %s)", e.Field, e.Value, e.Allowed)
+}
+
+// Validate checks the validate tags of a struct. The error names field,
+// value and what is allowed, and satisfies errors.Is(err, errors.NotValid).
+func Validate(value any) error {
+	err := validate.Struct(value)
+	if err == nil {
+		return nil
+	}
+	var fields validator.ValidationErrors
+	if !errors.As(err, &fields) {
+		return err
+	}
+	f := fields[0]
+	return errors.NewNotValid(FieldError{
+		Field: fieldPath(f.Namespace()), Value: shorten(fmt.Sprint(f.Value())), Allowed: allowedByTag(f),
+	}, "")
+}
+
+func fieldPath(namespace string) string {
+	_, path, found := strings.Cut(namespace, ".")
+	if !found {
+		return namespace
+	}
+	return path
+}
+
+// maxValueText is how much of a value an error repeats, in bytes.
+const maxValueText = 64
+
+func shorten(value string) string {
+	if len(value) <= maxValueText {
+		return value
+	}
+	return strings.ToValidUTF8(value[:maxValueText], "") + "..."
+}
+
+// allowedByTag says in words what a validate tag allows.
+func allowedByTag(f validator.FieldError) string {
+	unit := ""
+	switch f.Kind() {
+	case reflect.String:
+		unit = " characters"
+	case reflect.Slice:
+		unit = " entries"
+	default:
+	}
+	switch f.Tag() {
+	case "required":
+		return "a value that is not empty"
+	case "min":
+		return "at least " + f.Param() + unit
+	case "max":
+		return "at most " + f.Param() + unit
+	case "oneof":
+		return "one of " + f.Param()
+	case "unique":
+		return "each entry once"
+	case "printascii":
+		return "printable ASCII characters"
+	case "ipport":
+		return "an IP number and a port, such as 127.0.0.1:7000"
+	}
+	return f.Tag() + " " + f.Param()
+}
+
+// unknownField is how encoding/json begins its error for a field that a
+// struct does not have.
+const unknownField = "json: unknown field "
+
+// decodeError turns an error of encoding/json that is about a field into a
+// FieldError.
+func decodeError(err error) error {
+	var mismatch *json.UnmarshalTypeError
+	if errors.As(err, &mismatch) && mismatch.Field != "" {
+		return FieldError{
+			Field: mismatch.Field, Value: shorten(mismatch.Value), Allowed: allowedByType(mismatch.Type),
+		}
+	}
+	if name, found := strings.CutPrefix(err.Error(), unknownField); found {
+		return FieldError{Field: strings.Trim(name, `"`), Value: "given", Allowed: "only fields that are documented"}
+	}
+	return err
+}
+
+func allowedByType(t reflect.Type) string {
+	if t == reflect.TypeFor[Duration]() {
+		return `a duration such as "40ms"`
+	}
+	switch t.Kind() {
+	case reflect.Bool:
+		return "true or false"
+	case reflect.String:
+		return "a string"
+	case reflect.Slice, reflect.Array:
+		return "a list"
+	case reflect.Struct, reflect.Map:
+		return "an object"
+	default:
+		return "a number in range"
+	}
+}
--- a/internal/driftserve/process.go
+++ b/internal/driftserve/process.go
@@ -73,6 +73,9 @@
 	if p.logger == nil {
 		p.logger = logrus.New()
 		p.logger.SetFormatter(&logrus.JSONFormatter{})
+		if level, err := logrus.ParseLevel(settings.Log); err == nil {
+			p.logger.SetLevel(level)
+		}
 	}
 	return p
 }
--- a/internal/driftsettings/settings.go
+++ b/internal/driftsettings/settings.go
@@ -3,13 +3,14 @@
 //
 // # Usage
 //
-//	settings, err := driftsettings.Read("vm-1.json")
+//	settings, err := driftsettings.Load("vm-1.json", driftsettings.Settings{})
 //	if err != nil {
 //		return err // names the field, its value and what is allowed
 //	}
 package driftsettings
 
 import (
+	"cmp"
 	"os"
 
 	"github.com/juju/errors"
@@ -50,14 +51,36 @@
 	return s.withDefaults(), nil
 }
 
-// Read reads settings from a file.
-func Read(path string) (s Settings, err error) {
-	defer errors.DeferredAnnotatef(&err, "reading %q", path)
-	body, err := os.ReadFile(path)
-	if err != nil {
+// Load reads settings from a file and puts the fields of override that are
+// not empty in place of the file's. Without a path, override is all there is.
+func Load(path string, override Settings) (s Settings, err error) {
+	defer errors.DeferredAnnotatef(&err, "settings %q", path)
+	if path != "" {
+		body, err := os.ReadFile(path)
+		if err != nil {
+			return Settings{}, err
+		}
+		if err := driftdocument.DecodeStrict(body, &s); err != nil {
+			return Settings{}, err
+		}
+	}
+	s = s.overridden(override)
+	if err := driftdocument.Validate(s); err != nil {
 		return Settings{}, err
 	}
-	return Parse(body)
+	return s.withDefaults(), nil
+}
+
+func (s Settings) overridden(o Settings) Settings {
+	s.Name = cmp.Or(o.Name, s.Name)
+	s.Domain = cmp.Or(o.Domain, s.Domain)
+	s.Callers = cmp.Or(o.Callers, s.Callers)
+	s.Peers = cmp.Or(o.Peers, s.Peers)
+	s.Ops = cmp.Or(o.Ops, s.Ops)
+	s.Platform = cmp.Or(o.Platform, s.Platform)
+	s.Log = cmp.Or(o.Log, s.Log)
+	s.Life = cmp.Or(o.Life, s.Life)
+	return s
 }
 
 func (s Settings) withDefaults() Settings {
--- /dev/null
+++ b/internal/driftstatus/compare.go
@@ -0,0 +1,120 @@
+package driftstatus
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Differ is a point in which one VM differs from the fleet: an older
+// revision than the newest, or another view than most VMs have.
+type Differ struct {
+	VM    string `json:"vm"`
+	Field string `json:"field"`
+	Value string `json:"value"`
+	Fleet string `json:"fleet"`
+}
+
+// Compare returns the points in which VMs differ: revisions that are behind
+// the newest one, the health and marks of other VMs, and the marks of failure
+// domains.
+func Compare(members []Member) []Differ {
+	differs := []Differ{}
+	for _, key := range keys(members) {
+		differs = append(differs, compareRevision(members, key)...)
+	}
+	differs = append(differs, compareMost(members, "vms", viewOfVMs)...)
+	return append(differs, compareMost(members, "domains", viewOfDomains)...)
+}
+
+// keys returns the configuration keys that any VM holds, in order.
+func keys(members []Member) []string {
+	held := make(map[string]bool)
+	for _, m := range members {
+		for _, r := range m.Report.Revisions {
+			held[r.Key] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(held))
+}
+
+func compareRevision(members []Member, key string) []Differ {
+	var newest uint64
+	for _, m := range members {
+		newest = max(newest, m.Report.Revision(key))
+	}
+	var differs []Differ
+	for _, m := range members {
+		if held := m.Report.Revision(key); held < newest {
+			differs = append(differs, Differ{
+				VM: m.Report.Name, Field: "revision of " + key,
+				Value: strconv.FormatUint(held, 10), Fleet: strconv.FormatUint(newest, 10),
+			})
+		}
+	}
+	return differs
+}
+
+// compareMost flags the VMs whose view is not the most common one.
+func compareMost(members []Member, field string, view func(Report) string) []Differ {
+	counts := make(map[string]int)
+	for _, m := range members {
+		counts[view(m.Report)]++
+	}
+	var common string
+	for _, v := range slices.Sorted(maps.Keys(counts)) {
+		if counts[v] > counts[common] {
+			common = v
+		}
+	}
+	var differs []Differ
+	for _, m := range members {
+		if v := view(m.Report); v != common {
+			differs = append(differs, Differ{
+				VM: m.Report.Name, Field: field, Value: beyond(v, common), Fleet: beyond(common, v),
+			})
+		}
+	}
+	return differs
+}
+
+// separator stands between the parts of a view.
+const separator = ", "
+
+// beyond returns the parts of a view that another view does not have.
+func beyond(view, other string) string {
+	others := strings.Split(other, separator)
+	var parts []string
+	for p := range strings.SplitSeq(view, separator) {
+		if !slices.Contains(others, p) {
+			parts = append(parts, p)
+		}
+	}
+	return strings.Join(parts, separator)
+}
+
+func viewOfVMs(r Report) string {
+	var parts []string
+	for _, vm := range r.VMs {
+		state := vm.Health
+		if vm.Out {
+			state += " out"
+		}
+		parts = append(parts, fmt.Sprintf("%s %s", vm.Name, state))
+	}
+	return strings.Join(parts, separator)
+}
+
+func viewOfDomains(r Report) string {
+	var parts []string
+	for _, d := range r.Domains {
+		state := "in"
+		if d.Out {
+			state = "out"
+		}
+		parts = append(parts, fmt.Sprintf("%s %s", d.Name, state))
+	}
+	return strings.Join(parts, separator)
+}
--- /dev/null
+++ b/internal/driftstatus/gather.go
@@ -0,0 +1,118 @@
+package driftstatus
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/almonddrift/almonddrift/internal/driftpeer"
+	pb "github.com/almonddrift/almonddrift/internal/driftpeer/driftpeerpb"
+)
+
+// Fleet is what the VMs that answered report, in the order of their names.
+type Fleet struct {
+	Reports []Member `json:"reports"`
+	Silent  []Silent `json:"silent"`
+	Differs []Differ `json:"differs"`
+}
+
+// Member is a VM that answered, at the address at which it was asked.
+type Member struct {
+	Address string `json:"address"`
+	Report  Report `json:"report"`
+}
+
+// Silent is a VM that did not answer. Name is empty when nobody knows it.
+type Silent struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Error   string `json:"error"`
+}
+
+// Gather asks the VMs at the given peer addresses what they see, then all
+// VMs that those list, until no new one is named. Each VM has the given
+// time to answer.
+func Gather(ctx context.Context, peers driftpeer.Transport, timeout time.Duration, addresses []string) Fleet {
+	g := &gathering{
+		peers: peers, timeout: timeout, asked: make(map[string]string),
+		fleet: Fleet{Reports: []Member{}, Silent: []Silent{}},
+	}
+	for _, a := range addresses {
+		g.note("", a)
+	}
+	for len(g.waiting) > 0 {
+		g.round(ctx)
+	}
+	slices.SortFunc(g.fleet.Reports, func(a, b Member) int { return strings.Compare(a.Report.Name, b.Report.Name) })
+	slices.SortFunc(g.fleet.Silent, func(a, b Silent) int { return strings.Compare(a.Name, b.Name) })
+	g.fleet.Differs = Compare(g.fleet.Reports)
+	return g.fleet
+}
+
+// gathering is the state of Gather. It belongs to one goroutine.
+type gathering struct {
+	peers   driftpeer.Transport
+	timeout time.Duration
+	// asked holds the names of the VMs by their addresses.
+	asked   map[string]string
+	waiting []string
+	fleet   Fleet
+}
+
+// note remembers a VM to ask, once.
+func (g *gathering) note(name, address string) {
+	known, found := g.asked[address]
+	if known == "" {
+		g.asked[address] = name
+	}
+	if !found {
+		g.waiting = append(g.waiting, address)
+	}
+}
+
+// round asks all waiting VMs side by side.
+func (g *gathering) round(ctx context.Context) {
+	asked := g.waiting
+	g.waiting = nil
+	replies := make([]reply, len(asked))
+	var group sync.WaitGroup
+	for i, address := range asked {
+		group.Go(func() { replies[i] = g.ask(ctx, address) })
+	}
+	group.Wait()
+	for i, address := range asked {
+		if replies[i].err != nil {
+			g.fleet.Silent = append(g.fleet.Silent, Silent{
+				Name: g.asked[address], Address: address, Error: errors.Cause(replies[i].err).Error(),
+			})
+			continue
+		}
+		g.fleet.Reports = append(g.fleet.Reports, Member{Address: address, Report: replies[i].report})
+		for _, vm := range replies[i].report.VMs {
+			g.note(vm.Name, vm.Peers)
+		}
+	}
+}
+
+// reply is what one VM answered.
+type reply struct {
+	report Report
+	err    error
+}
+
+func (g *gathering) ask(ctx context.Context, address string) (r reply) {
+	defer errors.DeferredAnnotatef(&r.err, "asking %s", address)
+	ctx, cancel := context.WithTimeout(ctx, g.timeout)
+	defer cancel()
+	answer, err := g.peers.Fresh(address).Status(ctx, &pb.StatusRequest{})
+	if err != nil {
+		return reply{err: err}
+	}
+	r.err = json.Unmarshal(answer.GetReport(), &r.report)
+	return r
+}
--- /dev/null
+++ b/internal/driftstatus/text.go
@@ -0,0 +1,100 @@
+package driftstatus
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// columnGap is the number of spaces between two columns.
+const columnGap = 2
+
+// Write writes the reports as tables for people.
+func (f Fleet) Write(w io.Writer) error {
+	if err := f.writeVMs(w); err != nil {
+		return err
+	}
+	var text strings.Builder
+	text.WriteString("\nrevisions in force\n")
+	for _, key := range keys(f.Reports) {
+		fmt.Fprintf(&text, "  %s %d\n", key, newest(f.Reports, key))
+	}
+	for _, m := range f.Reports {
+		writeOwned(&text, m.Report)
+	}
+	for _, s := range f.Silent {
+		fmt.Fprintf(&text, "silent: %s at %s: %s\n", s.Name, s.Address, s.Error)
+	}
+	for _, d := range f.Differs {
+		fmt.Fprintf(&text, "differs: %s: %s is %q, in the fleet %q\n", d.VM, d.Field, d.Value, d.Fleet)
+	}
+	_, err := io.WriteString(w, text.String())
+	return err
+}
+
+func newest(members []Member, key string) uint64 {
+	var number uint64
+	for _, m := range members {
+		number = max(number, m.Report.Revision(key))
+	}
+	return number
+}
+
+func (f Fleet) writeVMs(w io.Writer) error {
+	var table strings.Builder
+	table.WriteString("vm\tdomain\tview\tage ms\tconfig ms\tstate\tupstreams\tcold\tviolations\t\n")
+	for _, m := range f.Reports {
+		r := m.Report
+		fmt.Fprintf(&table, "%s\t%s\t%d\t%.0f\t%.0f\t%s\t%d\t%d\t%d\t\n",
+			r.Name, r.Domain, r.View.Number, r.View.Age, r.View.Config, r.state(),
+			len(r.Upstreams), r.cold(), r.violations())
+	}
+	aligned := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
+	if _, err := io.WriteString(aligned, table.String()); err != nil {
+		return err
+	}
+	return aligned.Flush()
+}
+
+// state names what keeps the VM from work, or "serving".
+func (r Report) state() string {
+	switch {
+	case r.Leaving:
+		return "leaving"
+	case r.Fenced:
+		return "fenced"
+	case r.Out:
+		return "out"
+	}
+	return "serving"
+}
+
+func (r Report) cold() int {
+	var cold int
+	for _, u := range r.Upstreams {
+		if u.Cold {
+			cold++
+		}
+	}
+	return cold
+}
+
+func (r Report) violations() uint64 {
+	var total uint64
+	for _, v := range r.Violations {
+		total += v.Number
+	}
+	return total
+}
+
+// writeOwned writes the upstreams of a VM that are cold, out or queued.
+func writeOwned(text *strings.Builder, r Report) {
+	for _, u := range r.Upstreams {
+		if !u.Cold && !u.Out && u.Queue == 0 {
+			continue
+		}
+		fmt.Fprintf(text, "%s: upstream %s cold=%t out=%t flight=%d queue=%d limit=%d\n",
+			r.Name, u.Name, u.Cold, u.Out, u.Flight, u.Queue, u.Limit)
+	}
+}
--- /dev/null
+++ b/internal/drifttimeline/timeline.go
@@ -0,0 +1,103 @@
+// Package drifttimeline gathers the events that all VMs keep, and orders
+// them into one time line of the fleet.
+//
+// Clocks of VMs differ, so events are ordered causally where requests link
+// them: within a VM by sequence, and between VMs along each attempt, from its
+// start at the front over the dispatch at the owner to its end at the front.
+// Between events that nothing links, the clocks decide.
+//
+// # Usage
+//
+//	timeline := drifttimeline.Gather(ctx, transport, drifttimeline.Query{
+//		Addresses: []string{"10.0.0.1:7100"}, Request: "till-7-1", Timeout: 2 * time.Second,
+//	})
+//	err := timeline.Write(os.Stdout)
+package drifttimeline
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftpeer"
+	pb "github.com/almonddrift/almonddrift/internal/driftpeer/driftpeerpb"
+	"github.com/almonddrift/almonddrift/internal/driftstatus"
+)
+
+// Timeline is the events of all VMs that answered, in order, and the VMs that
+// did not answer.
+type Timeline struct {
+	Events []driftevent.Event   `json:"events"`
+	VMs    []string             `json:"vms"`
+	Silent []driftstatus.Silent `json:"silent"`
+}
+
+// Query says which events to gather.
+type Query struct {
+	// Addresses are peer addresses of VMs to start from.
+	Addresses []string
+	// Request limits the events to those of one request, unless empty.
+	Request string
+	// Since limits the events to those at or after it, unless zero.
+	Since time.Time
+	// Timeout is how long each VM may take to answer.
+	Timeout time.Duration
+}
+
+// Gather asks all VMs that can be found from the addresses.
+func Gather(ctx context.Context, peers driftpeer.Transport, q Query) Timeline {
+	fleet := driftstatus.Gather(ctx, peers, q.Timeout, q.Addresses)
+	t := Timeline{VMs: []string{}, Silent: fleet.Silent}
+	replies := make([]reply, len(fleet.Reports))
+	var group sync.WaitGroup
+	for i, m := range fleet.Reports {
+		group.Go(func() { replies[i] = ask(ctx, peers, q, m.Address) })
+	}
+	group.Wait()
+	var events []driftevent.Event
+	for i, m := range fleet.Reports {
+		if err := replies[i].err; err != nil {
+			t.Silent = append(t.Silent, driftstatus.Silent{
+				Name: m.Report.Name, Address: m.Address, Error: err.Error(),
+			})
+			continue
+		}
+		t.VMs = append(t.VMs, m.Report.Name)
+		events = append(events, replies[i].events...)
+	}
+	t.Events = Order(events)
+	return t
+}
+
+// reply is what one VM answered.
+type reply struct {
+	events []driftevent.Event
+	err    error
+}
+
+func ask(ctx context.Context, peers driftpeer.Transport, q Query, address string) reply {
+	ctx, cancel := context.WithTimeout(ctx, q.Timeout)
+	defer cancel()
+	request := &pb.TimelineRequest{Request: q.Request}
+	if !q.Since.IsZero() {
+		request.Since = q.Since.UnixMicro()
+	}
+	answer, err := peers.Fresh(address).Timeline(ctx, request)
+	if err != nil {
+		return reply{err: err}
+	}
+	events := make([]driftevent.Event, 0, len(answer.GetEvents()))
+	for _, e := range answer.GetEvents() {
+		events = append(events, eventFromWire(e))
+	}
+	return reply{events: events}
+}
+
+func eventFromWire(w *pb.Event) driftevent.Event {
+	code := driftevent.Code(w.GetCode())
+	return driftevent.Event{
+		VM: w.GetVm(), Boot: w.GetBoot(), Sequence: w.GetSequence(), Time: time.UnixMicro(w.GetTime()),
+		Code: code, Name: code.Name(), Request: w.GetRequest(), Subject: w.GetSubject(), Detail: w.GetDetail(),
+	}
+}
