Callers' HTTP: typed refusals of all bad input; metrics; fuzzing

Cause: an unknown path answered in plain text, a malformed body lost its request id, and /metrics was empty. Metrics come from status and event counts at the scrape.

--- /dev/null
+++ b/internal/driftmetric/collector.go
@@ -0,0 +1,139 @@
+// Package driftmetric turns what a VM knows of itself into Prometheus
+// metrics. Collector reads the VM's status and event counts when it is
+// scraped, so that traffic pays nothing for them; Queries is told the outcome
+// of each caller's query. docs/ops/status.md lists the metrics.
+//
+// # Usage
+//
+//	registry.MustRegister(driftmetric.NewCollector(node.Status, events))
+//	queries := driftmetric.NewQueries(registry)
+//	queries.Answered("fire", true, 12*time.Millisecond)
+package driftmetric
+
+import (
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftstatus"
+)
+
+// namespace is the first word of every metric's name.
+const namespace = "almonddrift"
+
+// Counter tells how often a code was recorded. driftevent.Log is one.
+type Counter interface {
+	Count(code driftevent.Code) uint64
+}
+
+// Collector collects the metrics of one VM. It implements
+// prometheus.Collector.
+type Collector struct {
+	status func() driftstatus.Report
+	events Counter
+}
+
+// NewCollector returns a Collector that reads status and event counts.
+func NewCollector(status func() driftstatus.Report, events Counter) *Collector {
+	return &Collector{status: status, events: events}
+}
+
+func describe(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
+}
+
+var (
+	descEvents     = describe("events_total", "Events recorded.", "code", "name")
+	descAttempts   = describe("attempts_total", "Attempts at shards that fronts have started.")
+	descHedges     = describe("hedges_total", "Attempts started beside one that was slow.")
+	descViolations = describe("violations_total", "Promises found broken.", "promise")
+	descViewAge    = describe("view_age_seconds", "Age of the view that traffic acts on.")
+	descViewNumber = describe("view_number", "Number of views published.")
+	descConfigAge  = describe("config_age_seconds", "Time since the configuration service was heard; negative when unknown.")
+	descFenced     = describe("fenced", "1 while the VM may not act as an owner.")
+	descServing    = describe("serving", "1 while the VM is neither out, leaving nor fenced.")
+	descRevision   = describe("config_revision", "Revision in force.", "key")
+	descVMs        = describe("vms", "VMs by what this VM believes of them.", "health")
+	descLimit      = describe("upstream_limit", "Requests that may run at an owned upstream.", "upstream")
+	descFlight     = describe("upstream_flight", "Requests that run at an owned upstream.", "upstream")
+	descQueue      = describe("upstream_queue", "Requests that wait for an owned upstream.", "upstream")
+	descConns      = describe("upstream_connections", "Open connections to an owned upstream.", "upstream")
+	descCold       = describe("upstream_cold", "1 while an owned upstream warms up.", "upstream")
+)
+
+// Describe implements prometheus.Collector.
+func (c *Collector) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{
+		descEvents, descAttempts, descHedges, descViolations, descViewAge, descViewNumber,
+		descConfigAge, descFenced, descServing, descRevision, descVMs, descLimit, descFlight,
+		descQueue, descConns, descCold,
+	} {
+		out <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *Collector) Collect(out chan<- prometheus.Metric) {
+	r := c.status()
+	c.collectEvents(out)
+	collectView(out, r)
+	for _, u := range r.Upstreams {
+		collectUpstream(out, u)
+	}
+}
+
+func (c *Collector) collectEvents(out chan<- prometheus.Metric) {
+	for _, code := range driftevent.Codes() {
+		out <- counter(descEvents, c.events.Count(code), strconv.Itoa(int(code)), code.Name())
+	}
+	out <- counter(descAttempts, c.events.Count(driftevent.AttemptStarted))
+	out <- counter(descHedges, c.events.Count(driftevent.AttemptHedged))
+}
+
+func collectView(out chan<- prometheus.Metric, r driftstatus.Report) {
+	const millisPerSecond = 1000
+	out <- gauge(descViewAge, r.View.Age/millisPerSecond)
+	out <- gauge(descViewNumber, float64(r.View.Number))
+	out <- gauge(descConfigAge, r.View.Config/millisPerSecond)
+	out <- gauge(descFenced, truth(r.Fenced))
+	out <- gauge(descServing, truth(!r.Fenced && !r.Out && !r.Leaving))
+	for _, v := range r.Violations {
+		out <- counter(descViolations, v.Number, string(v.Promise))
+	}
+	for _, revision := range r.Revisions {
+		out <- gauge(descRevision, float64(revision.Number), revision.Key)
+	}
+	for _, health := range []string{"alive", "suspect", "leaving", "dead"} {
+		var number float64
+		for _, vm := range r.VMs {
+			if vm.Health == health {
+				number++
+			}
+		}
+		out <- gauge(descVMs, number, health)
+	}
+}
+
+func collectUpstream(out chan<- prometheus.Metric, u driftstatus.Upstream) {
+	out <- gauge(descLimit, float64(u.Limit), u.Name)
+	out <- gauge(descFlight, float64(u.Flight), u.Name)
+	out <- gauge(descQueue, float64(u.Queue), u.Name)
+	out <- gauge(descConns, float64(u.Conns), u.Name)
+	out <- gauge(descCold, truth(u.Cold), u.Name)
+}
+
+func counter(d *prometheus.Desc, value uint64, labels ...string) prometheus.Metric {
+	return prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(value), labels...)
+}
+
+func gauge(d *prometheus.Desc, value float64, labels ...string) prometheus.Metric {
+	return prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
+}
+
+func truth(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/driftmetric/query.go
@@ -0,0 +1,53 @@
+package driftmetric
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// The outcomes of a query.
+const (
+	outcomeComplete = "complete"
+	outcomePartial  = "partial"
+	outcomeRefused  = "refused"
+)
+
+// Queries counts callers' queries by class and outcome.
+type Queries struct {
+	seconds  *prometheus.HistogramVec
+	refusals *prometheus.CounterVec
+}
+
+// NewQueries returns Queries whose metrics are in the registry.
+func NewQueries(registry prometheus.Registerer) *Queries {
+	q := &Queries{
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "query_seconds", Help: "Time of a query at this VM.",
+			Buckets: []float64{
+				0.002, 0.004, 0.006, 0.01, 0.015, 0.02, 0.03, 0.04, 0.06, 0.07, 0.1, 0.2, 0.5, 1, 2, 5, 10,
+			},
+		}, []string{"class", "outcome"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "refusals_total", Help: "Queries refused, by reason and by whether they ran.",
+		}, []string{"reason", "ran"}),
+	}
+	registry.MustRegister(q.seconds, q.refusals)
+	return q
+}
+
+// Answered notes an answer of a published class.
+func (q *Queries) Answered(class string, complete bool, took time.Duration) {
+	outcome := outcomePartial
+	if complete {
+		outcome = outcomeComplete
+	}
+	q.seconds.WithLabelValues(class, outcome).Observe(took.Seconds())
+}
+
+// Refused notes a refusal. The class is empty when it is not published, so
+// that callers cannot grow the metrics.
+func (q *Queries) Refused(class, reason, ran string, took time.Duration) {
+	q.seconds.WithLabelValues(class, outcomeRefused).Observe(took.Seconds())
+	q.refusals.WithLabelValues(reason, ran).Inc()
+}
--- a/internal/driftnode/node.go
+++ b/internal/driftnode/node.go
@@ -27,6 +27,7 @@
 	"github.com/almonddrift/almonddrift/internal/driftowner"
 	"github.com/almonddrift/almonddrift/internal/driftpeer"
 	"github.com/almonddrift/almonddrift/internal/driftplatform"
+	"github.com/almonddrift/almonddrift/internal/driftshard"
 	"github.com/almonddrift/almonddrift/internal/driftstatus"
 	"github.com/almonddrift/almonddrift/internal/driftsteer"
 	"github.com/almonddrift/almonddrift/internal/drifttable"
@@ -90,10 +91,14 @@
 
 // Status returns what this VM sees.
 func (n *Node) Status() driftstatus.Report {
-	return driftstatus.NewReport(driftstatus.Sources{
+	s := driftstatus.Sources{
 		View: n.Views().Load(), Boot: n.Self.Boot, Config: -time.Millisecond,
 		Violations: n.Checker.Violations(),
-	}, time.Now())
+	}
+	if r, ok := any(n.Owner).(driftshard.LaneReporter); ok {
+		s.Lanes = r.Lanes()
+	}
+	return driftstatus.NewReport(s, time.Now())
 }
 
 // Report implements driftpeer.Reporter.
--- a/internal/driftserve/process.go
+++ b/internal/driftserve/process.go
@@ -16,6 +16,7 @@
 
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -145,7 +146,11 @@
 }
 
 func newRegistry() *prometheus.Registry {
-	return prometheus.NewRegistry()
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return registry
 }
 
 func newEvents(p *Process) *driftevent.Log {
--- /dev/null
+++ b/internal/driftserve/query.go
@@ -0,0 +1,92 @@
+package driftserve
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/juju/errors"
+
+	"github.com/almonddrift/almonddrift/internal/driftdocument"
+	"github.com/almonddrift/almonddrift/pkg/driftapi"
+)
+
+// maxQueryBytes is the size of the largest query that is accepted.
+const maxQueryBytes = 1 << 20
+
+// Reasons of refusals that the listener gives itself.
+const (
+	reasonMalformed = "malformed"
+	reasonOversized = "oversized"
+	reasonPath      = "path"
+	reasonMethod    = "method"
+	reasonInternal  = "internal"
+)
+
+// readQuery reads a query from a request. The refusal has no reason when the
+// query is good.
+func readQuery(w http.ResponseWriter, r *http.Request) (q driftapi.Query, refusal driftapi.Refusal) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxQueryBytes))
+	var oversized *http.MaxBytesError
+	if errors.As(err, &oversized) {
+		refusal = malformed(requestID(body), err)
+		refusal.Reason = reasonOversized
+		return q, refusal
+	}
+	if err != nil {
+		return q, malformed(requestID(body), err)
+	}
+	q, err = parseQuery(body)
+	if err != nil {
+		return q, malformed(requestID(body), err)
+	}
+	return q, refusal
+}
+
+// parseQuery reads and validates a query. The error names the field.
+func parseQuery(body []byte) (q driftapi.Query, err error) {
+	if err := driftdocument.DecodeStrict(body, &q); err != nil {
+		return driftapi.Query{}, err
+	}
+	return q, driftdocument.Validate(q)
+}
+
+// malformed returns the refusal of a request that could not be read.
+func malformed(request string, err error) driftapi.Refusal {
+	r := driftapi.Refusal{
+		Request: request, Ran: driftapi.RanNo, Reason: reasonMalformed, Detail: errors.Cause(err).Error(),
+	}
+	var field driftdocument.FieldError
+	if errors.As(err, &field) {
+		r.Field, r.Detail = field.Field, field.Error()
+	}
+	return r
+}
+
+// maxRequestID is the length of the longest request id that a refusal
+// repeats.
+const maxRequestID = 128
+
+// requestID returns the request id of a body that may be malformed or cut
+// off, or "" when it cannot be read.
+func requestID(body []byte) string {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	if t, err := decoder.Token(); err != nil || t != json.Delim('{') {
+		return ""
+	}
+	for {
+		key, err := decoder.Token()
+		if err != nil {
+			return ""
+		}
+		var value json.RawMessage
+		if err := decoder.Decode(&value); err != nil {
+			return ""
+		}
+		var id string
+		if key == "request" && json.Unmarshal(value, &id) == nil && len(id) <= maxRequestID {
+			return id
+		}
+	}
+}
--- /dev/null
+++ b/internal/driftsettings/settings_test.go
@@ -0,0 +1,75 @@
+package driftsettings
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/almonddrift/almonddrift/internal/driftdocument"
+)
+
+const sound = `{"name":"vm-1","domain":"Recife","callers":"127.0.0.1:1","peers":"127.0.0.1:2","ops":"127.0.0.1:3","platform":"127.0.0.1:4"}`
+
+func TestLoad(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "vm.json")
+	require.NoError(t, os.WriteFile(path, []byte(sound), 0o600))
+	t.Run("a file with defaults", func(t *testing.T) {
+		s, err := Load(path, Settings{})
+		require.NoError(t, err)
+		assert.Equal(t, "info", s.Log)
+		assert.Equal(t, DefaultLife, s.Life)
+	})
+	t.Run("override goes before the file", func(t *testing.T) {
+		s, err := Load(path, Settings{Name: "vm-9", Log: "error"})
+		require.NoError(t, err)
+		assert.Equal(t, "vm-9", s.Name)
+		assert.Equal(t, "error", s.Log)
+		assert.Equal(t, "Recife", s.Domain)
+	})
+	t.Run("override is checked", func(t *testing.T) {
+		_, err := Load(path, Settings{Ops: "nowhere"})
+		assertField(t, err, "ops")
+	})
+	t.Run("without a file everything must be given", func(t *testing.T) {
+		_, err := Load("", Settings{Name: "vm-1"})
+		assertField(t, err, "domain")
+	})
+	t.Run("a file that is not there", func(t *testing.T) {
+		_, err := Load(filepath.Join(t.TempDir(), "none"), Settings{})
+		assert.ErrorIs(t, err, os.ErrNotExist)
+	})
+}
+
+func assertField(t *testing.T, err error, field string) {
+	t.Helper()
+	var f driftdocument.FieldError
+	require.ErrorAs(t, err, &f)
+	assert.Equal(t, field, f.Field)
+}
+
+// FuzzSettings asserts that any body is either settings, which survive being
+// written and read again, or refused as not valid.
+func FuzzSettings(f *testing.F) {
+	for _, seed := range []string{
+		sound, `{}`, `null`, `{"name":1}`, `{"life":"1h"}`, `{"life":9}`, sound + sound, `{"weights":[]}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		s, err := Parse(body)
+		if err != nil {
+			require.ErrorIs(t, err, errors.NotValid)
+			return
+		}
+		again, err := json.Marshal(s)
+		require.NoError(t, err)
+		second, err := Parse(again)
+		require.NoError(t, err)
+		require.Equal(t, s, second)
+	})
+}
--- /dev/null
+++ b/internal/driftshard/lane.go
@@ -0,0 +1,23 @@
+package driftshard
+
+import "time"
+
+// LaneState is what an owner tells operators of one upstream that it holds.
+type LaneState struct {
+	Upstream string
+	// Cold is set while the upstream warms up.
+	Cold bool
+	// Flight requests run and Queue requests wait.
+	Flight, Queue int
+	// Limit is how many requests may run at a time.
+	Limit int
+	// Conns is the number of open connections.
+	Conns int
+	// Service is the smoothed time of one request.
+	Service time.Duration
+}
+
+// LaneReporter tells the state of all upstreams that a VM holds.
+type LaneReporter interface {
+	Lanes() []LaneState
+}
--- a/internal/driftstatus/report.go
+++ b/internal/driftstatus/report.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/almonddrift/almonddrift/internal/driftcheck"
+	"github.com/almonddrift/almonddrift/internal/driftshard"
 	"github.com/almonddrift/almonddrift/internal/drifttable"
 )
 
@@ -84,24 +85,13 @@
 	Service float64 `json:"service"`
 }
 
-// LaneState is what an owner tells of one upstream.
-type LaneState struct {
-	Upstream string
-	Cold     bool
-	Flight   int
-	Queue    int
-	Limit    int
-	Conns    int
-	Service  time.Duration
-}
-
 // Sources is what a report is made of. Config is negative when the age of
 // the configuration is not known.
 type Sources struct {
 	View       *drifttable.View
 	Boot       uint64
 	Config     time.Duration
-	Lanes      []LaneState
+	Lanes      []driftshard.LaneState
 	Violations []driftcheck.Count
 }
 
@@ -151,8 +141,8 @@
 
 // upstreams returns the upstreams that this VM owns, with the state of the
 // lane where there is one.
-func upstreams(v *drifttable.View, lanes []LaneState) []Upstream {
-	states := make(map[string]LaneState, len(lanes))
+func upstreams(v *drifttable.View, lanes []driftshard.LaneState) []Upstream {
+	states := make(map[string]driftshard.LaneState, len(lanes))
 	for _, l := range lanes {
 		states[l.Upstream] = l
 	}
