--- a/internal/driftcheck/once.go
+++ b/internal/driftcheck/once.go
@@ -2,24 +2,31 @@
 
 import "time"
 
-// onceTable remembers the ids of dispatched requests until their deadlines
-// are past.
+// onceTable remembers the ids of dispatched requests for onceMemory after
+// their deadlines.
 type onceTable struct {
 	rows  map[string]time.Time
 	swept time.Time
 }
 
+// onceMemory is how long after its deadline an id is remembered, so that a
+// sender that was paused past the deadline is still found out.
+const onceMemory = 10 * time.Second
+
 // sweepInterval is how often expired ids are removed.
 const sweepInterval = 10 * time.Second
 
-// seen reports whether the id is remembered, and remembers it.
+// seen reports whether the id is remembered, and remembers it until the
+// latest of its deadlines.
 func (t *onceTable) seen(id string, deadline, now time.Time) bool {
 	if t.rows == nil {
 		t.rows = make(map[string]time.Time)
 	}
 	t.sweep(now)
-	_, found := t.rows[id]
-	t.rows[id] = deadline
+	held, found := t.rows[id]
+	if !found || deadline.After(held) {
+		t.rows[id] = deadline
+	}
 	return found
 }
 
@@ -29,7 +36,7 @@
 	}
 	t.swept = now
 	for id, deadline := range t.rows {
-		if now.After(deadline) {
+		if now.Sub(deadline) > onceMemory {
 			delete(t.rows, id)
 		}
 	}
--- a/internal/driftcheck/promise.go
+++ b/internal/driftcheck/promise.go
@@ -1,38 +1,30 @@
 package driftcheck
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // OneSnapshot asserts that a merged reply has the version that the answer is
-// pinned to.
+// pinned to. Version 0 is none: an answer must be pinned to one.
 func (c *Checker) OneSnapshot(request string, pinned, merged uint64) {
-	if pinned != merged {
+	if pinned != merged || pinned == 0 {
 		c.violate(Snapshot, request, "merged version %d into an answer of version %d", merged, pinned)
 	}
 }
 
 // TrueCoverage asserts that the depots that an answer calls searched are
 // those whose replies were merged, each once, and that searched and missing
-// make up the depots that were asked for.
+// make up the depots that were asked for, each once.
 func (c *Checker) TrueCoverage(request string, asked, searched, missing, merged []string) {
 	if !sameDepots(searched, merged) {
 		c.violate(Coverage, request, "states %d depots searched, merged %d", len(searched), len(merged))
 	}
-	stated := slices.Concat(searched, missing)
-	if !sameDepots(stated, asked) {
-		c.violate(Coverage, request, "states %d depots, asked for %d", len(stated), len(asked))
+	if !sameDepots(asked, searched, missing) {
+		c.violate(Coverage, request, "states %d depots, asked for %d", len(searched)+len(missing), len(asked))
 	}
 }
 
-func sameDepots(a, b []string) bool {
-	x, y := slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b))
-	return slices.Equal(x, y)
-}
-
 // ColdLimit asserts that a cold upstream has no more requests in flight than
-// its limit, and no more than one when its warm-up has just begun.
+// its limit, this request included. The limit is the owner's own: what the
+// upstream truly bears, only the upstream can count.
 func (c *Checker) ColdLimit(request, upstream string, flight, limit int) {
 	if flight > limit {
 		c.violate(Cold, request, "cold upstream %s has %d in flight, limit %d", upstream, flight, limit)
@@ -85,9 +77,10 @@
 	}
 }
 
-// NothingCutOff asserts that a graceful shutdown ends with nothing in flight.
+// NothingCutOff asserts that a graceful shutdown ends with nothing in flight,
+// and that no request was counted out twice.
 func (c *Checker) NothingCutOff(flight int) {
-	if flight > 0 {
+	if flight != 0 {
 		c.violate(Graceful, "", "stopped with %d requests in flight", flight)
 	}
 }
