Let the stand-ins pause, reset, go silent and count across a fleet

Cause: a repeat on another replica, work after a domain is out, a paused VM and connections that go silent while new ones work could not be caused or counted. Change: a shared ledger of runs; a gate a VM that holds its calls; silent connections; restart resets connections; detached runs; false load reports; cold arrivals are counted apart before and after the first sign; a size with one shard of forty upstreams. Ruled out: stopping a node's goroutines for a pause, which virtual time does not offer; the gate holds all that goes in or out instead.

--- /dev/null
+++ b/internal/driftfake/counts.go
@@ -0,0 +1,60 @@
+package driftfake
+
+import "time"
+
+// Counts is what an Upstream has counted for itself.
+type Counts struct {
+	// Requests arrived, Runs were executed, Sheds refused under load.
+	Requests, Runs, Sheds int
+	// ColdOver counts the requests that arrived when a cold upstream already
+	// had as many in flight as it bears, after its first sign of being cold:
+	// a slow reply, a shed reply or a reset connection. ColdUnseen counts
+	// those that arrived before that sign.
+	ColdOver, ColdUnseen int
+	// Repeats counts the runs of an id after its first, for requests that
+	// are not idempotent.
+	Repeats int
+	// AfterLeaving counts the requests that arrived more than three seconds
+	// after the upstream began to leave, AfterOut those that did so after its
+	// failure domain was marked out.
+	AfterLeaving, AfterOut int
+	// PeakFlight and PeakConns are the highest numbers seen at a time.
+	PeakFlight, PeakConns int
+	// Opened counts the connections that were opened.
+	Opened int
+	// Refused counts the connections that were over the limit.
+	Refused int
+}
+
+// grace is how long new work may reach an upstream that leaves or is out.
+const grace = 3 * time.Second
+
+// signGrace is the time from the first sign of being cold in which requests
+// that were sent before it still arrive.
+const signGrace = time.Millisecond
+
+// countForbidden counts a request that should not have been sent here.
+func (u *Upstream) countForbidden(now time.Time) {
+	if !u.leaving.IsZero() && now.Sub(u.leaving) > grace {
+		u.counts.AfterLeaving++
+	}
+	if !u.out.IsZero() && now.Sub(u.out) > grace {
+		u.counts.AfterOut++
+	}
+}
+
+// countCold counts a request that is more than a cold upstream bears.
+func (u *Upstream) countCold(now time.Time) {
+	if u.signed.IsZero() || now.Sub(u.signed) <= signGrace {
+		u.counts.ColdUnseen++
+		return
+	}
+	u.counts.ColdOver++
+}
+
+// sign notes the first sign of being cold. The caller holds the lock.
+func (u *Upstream) sign() {
+	if u.cold && u.signed.IsZero() {
+		u.signed = time.Now()
+	}
+}
--- a/internal/driftfake/dial.go
+++ b/internal/driftfake/dial.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/almonddrift/almonddrift/internal/driftshard"
@@ -57,28 +58,32 @@
 
 // accept opens one connection after the opening cost.
 func (u *Upstream) accept(ctx context.Context) (driftupstream.Conn, error) {
-	u.mu.Lock()
-	full := u.conns >= u.maxConns
-	if !full {
-		u.conns++
-		u.counts.Opened++
-		u.counts.PeakConns = max(u.counts.PeakConns, u.conns)
-	}
-	u.mu.Unlock()
-	if full {
+	c := u.admit()
+	if c == nil {
 		return nil, errRefused
 	}
-	connCtx, cancel := context.WithCancel(context.Background())
-	c := &conn{upstream: u, ctx: connCtx, cancel: cancel}
-	timer := time.NewTimer(u.opening)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return c, nil
-	case <-ctx.Done():
+	if err := wait(ctx, u.opening); err != nil {
 		_ = c.Close()
-		return nil, ctx.Err()
+		return nil, err
+	}
+	return c, nil
+}
+
+// admit counts a new connection, nil when the limit is reached.
+func (u *Upstream) admit() *conn {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.conns >= u.maxConns {
+		u.counts.Refused++
+		return nil
 	}
+	u.conns++
+	u.counts.Opened++
+	u.counts.PeakConns = max(u.counts.PeakConns, u.conns)
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &conn{upstream: u, ctx: ctx, cancel: cancel}
+	u.open[c] = struct{}{}
+	return c
 }
 
 // conn is one connection to an Upstream.
@@ -87,6 +92,7 @@
 	ctx      context.Context //nolint:containedctx // the life of the connection
 	cancel   context.CancelFunc
 	once     sync.Once
+	silent   atomic.Bool
 }
 
 // Close implements driftupstream.Conn.
@@ -96,6 +102,7 @@
 		c.upstream.mu.Lock()
 		defer c.upstream.mu.Unlock()
 		c.upstream.conns--
+		delete(c.upstream.open, c)
 	})
 	return nil
 }
@@ -110,7 +117,7 @@
 	defer cancel()
 	stop := context.AfterFunc(c.ctx, cancel)
 	defer stop()
-	a := c.upstream.serve(ctx, driftupstream.Search{
+	a := c.exchange(ctx, driftupstream.Search{
 		Request: r.Query, Attempt: r.Attempt, Shard: r.Shard, Version: r.Version,
 		Depots: r.Depots, Text: r.Text, Once: r.Once,
 		Deadline: time.Until(r.Deadline).Milliseconds(),
@@ -118,6 +125,20 @@
 	return a.reply(ctx)
 }
 
+// exchange has the request served. Over a silent connection nothing arrives
+// at either end.
+func (c *conn) exchange(ctx context.Context, s driftupstream.Search) answer {
+	var a answer
+	if !c.silent.Load() {
+		a = c.upstream.serve(ctx, s)
+	}
+	if c.silent.Load() {
+		<-ctx.Done()
+		return answer{}
+	}
+	return a
+}
+
 func (a answer) reply(ctx context.Context) driftupstream.Reply {
 	switch a.Status {
 	case http.StatusOK:
--- a/internal/driftfake/fleet.go
+++ b/internal/driftfake/fleet.go
@@ -7,11 +7,12 @@
 	"github.com/almonddrift/almonddrift/internal/driftdocument"
 )
 
-// Size describes one service of a user: shards × one upstream a domain.
+// Size describes one service of a user: shards of one upstream or many.
 type Size struct {
 	Service     string
 	Domains     []string
 	Shards      int
+	Replicas    int
 	Depots      int
 	Slots       int
 	Connections int
@@ -23,7 +24,7 @@
 func Oshana() Size {
 	return Size{
 		Service: "counter", Domains: []string{"Ondangwa", "Oshakati", "Ongwediva"},
-		Shards: 10, Depots: 2, Slots: 4, Connections: 35, Opening: 6 * time.Millisecond,
+		Shards: 10, Replicas: 3, Depots: 2, Slots: 4, Connections: 35, Opening: 6 * time.Millisecond,
 		Time: 3 * time.Millisecond,
 	}
 }
@@ -33,30 +34,43 @@
 func Tacada() Size {
 	return Size{
 		Service: "booking", Domains: []string{"Salvador", "Recife", "Fortaleza", "Natal"},
-		Shards: 10, Depots: 2, Slots: 2, Connections: 25, Opening: 6 * time.Millisecond,
+		Shards: 10, Replicas: 3, Depots: 2, Slots: 2, Connections: 25, Opening: 6 * time.Millisecond,
 		Time: 3 * time.Millisecond,
 	}
 }
 
-// replicas is how many upstreams each shard has.
-const replicas = 3
+// Receipts returns the size of Oshana's receipts: one shard of many upstreams.
+func Receipts() Size {
+	return Size{
+		Service: "receipts", Domains: Oshana().Domains,
+		Shards: 1, Replicas: 40, Depots: 12, Slots: 2, Connections: 110,
+		Opening: time.Millisecond, Time: 3 * time.Millisecond,
+	}
+}
 
 // Upstreams returns the stand-ins of the size, shard by shard.
-func (s Size) Upstreams(seed uint64) []*Upstream {
-	upstreams := make([]*Upstream, 0, s.Shards*replicas)
+func (s Size) Upstreams(seed uint64, opts ...UpstreamOption) []*Upstream {
+	upstreams := make([]*Upstream, 0, s.Shards*s.Replicas)
 	for i := range s.Shards {
-		for j := range replicas {
-			upstreams = append(upstreams, NewUpstream(s.name(i, j),
+		for j := range s.Replicas {
+			own := append([]UpstreamOption{
 				WithSlots(s.Slots), WithService(s.Time, 0.5),
 				WithOpening(s.Opening, s.Connections),
-				WithSeed(seed+uint64(i*replicas+j)),
-			))
+				WithSeed(seed + uint64(i*s.Replicas+j)),
+			}, opts...)
+			upstreams = append(upstreams, NewUpstream(s.name(i, j), own...))
 		}
 	}
 	return upstreams
 }
 
+// letters is how many replicas are named by a letter.
+const letters = 26
+
 func (s Size) name(shard, replica int) string {
+	if s.Replicas > letters {
+		return fmt.Sprintf("%s-%d-%d", s.Service, shard+1, replica+1)
+	}
 	return fmt.Sprintf("%s-%d%c", s.Service, shard+1, 'a'+rune(replica))
 }
 
@@ -70,7 +84,7 @@
 func (s Size) UpstreamsDocument(address func(name string) string) driftdocument.Upstreams {
 	d := driftdocument.Upstreams{Service: s.Service}
 	for i := range s.Shards {
-		for j := range replicas {
+		for j := range s.Replicas {
 			name := s.name(i, j)
 			d.Upstreams = append(d.Upstreams, driftdocument.Upstream{
 				Name: name, Domain: s.Domain(i, j), Address: address(name), Slots: s.Slots,
@@ -98,7 +112,7 @@
 		for j := range s.Depots {
 			shard.Depots = append(shard.Depots, fmt.Sprintf("depot-%d-%d", i+1, j+1))
 		}
-		for j := range replicas {
+		for j := range s.Replicas {
 			shard.Upstreams = append(shard.Upstreams, s.name(i, j))
 		}
 		shards = append(shards, shard)
--- a/internal/driftfake/network.go
+++ b/internal/driftfake/network.go
@@ -22,6 +22,7 @@
 	cut    map[link]bool
 	silent map[link]bool
 	calls  map[string]int
+	gates  map[string]*Gate
 }
 
 // link is one direction between two VMs.
@@ -34,6 +35,7 @@
 	return &Network{
 		delay: delay, peers: make(map[string]pb.Peer), cut: make(map[link]bool),
 		silent: make(map[link]bool), calls: make(map[string]int),
+		gates: make(map[string]*Gate),
 	}
 }
 
@@ -58,6 +60,19 @@
 	n.cut[link{from, to}] = cut
 }
 
+// Gate returns the gate that holds what the VM sends and receives while it
+// is paused.
+func (n *Network) Gate(vm string) *Gate {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	g, found := n.gates[vm]
+	if !found {
+		g = &Gate{}
+		n.gates[vm] = g
+	}
+	return g
+}
+
 // Silence makes the shared connections from one VM to another go silent:
 // calls reach nothing and get no answer, while fresh connections work.
 func (n *Network) Silence(from, to string, silent bool) {
@@ -149,22 +164,56 @@
 	fresh   bool
 }
 
-// call carries one call there and its reply back.
+// call carries one call there and its reply back, through the gates of both
+// VMs.
 func call[Q, R any](
 	ctx context.Context, r *remote, method string, q Q,
 	do func(pb.Peer, context.Context, Q) (R, error),
 ) (reply R, err error) {
+	own := r.network.Gate(r.link.from)
+	own.Pass()
+	defer own.Pass()
 	target, err := r.network.deliver(ctx, r.link, r.fresh, method)
 	if err != nil {
 		return reply, err
 	}
-	reply, err = do(target, ctx, q)
+	reply, err = handle(ctx, r.network.Gate(r.link.to), target, q, do)
 	if err != nil {
 		return reply, err
 	}
 	return reply, r.network.returns(ctx, r.link)
 }
 
+// lateLimit bounds a call that a paused VM handles when it resumes.
+const lateLimit = time.Second
+
+// handle lets the target handle the call. A paused target does so when it
+// resumes, even when the caller has given up by then.
+func handle[Q, R any](
+	ctx context.Context, gate *Gate, target pb.Peer, q Q,
+	do func(pb.Peer, context.Context, Q) (R, error),
+) (reply R, err error) {
+	if gate.wait() == nil {
+		return do(target, ctx, q)
+	}
+	var late R
+	done := make(chan error, 1)
+	go func() {
+		gate.Pass()
+		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), lateLimit)
+		defer cancel()
+		result, err := do(target, limited, q)
+		late = result
+		done <- err
+	}()
+	select {
+	case err = <-done:
+		return late, err
+	case <-ctx.Done():
+		return reply, ctx.Err()
+	}
+}
+
 // Shard implements pb.Peer.
 func (r *remote) Shard(ctx context.Context, q *pb.ShardRequest) (*pb.ShardReply, error) {
 	return call(ctx, r, "Shard", q, pb.Peer.Shard)
--- /dev/null
+++ b/internal/driftfake/option.go
@@ -0,0 +1,47 @@
+package driftfake
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// UpstreamOption changes an Upstream that NewUpstream makes.
+type UpstreamOption func(*Upstream)
+
+// WithSlots sets how many requests run at a time.
+func WithSlots(slots int) UpstreamOption { return func(u *Upstream) { u.slots = slots } }
+
+// WithService sets the mean time of a request and its spread, a share of
+// the mean between 0 and 1.
+func WithService(mean time.Duration, jitter float64) UpstreamOption {
+	return func(u *Upstream) { u.service, u.jitter = mean, jitter }
+}
+
+// WithOpening sets the cost of a new connection and the number allowed.
+func WithOpening(cost time.Duration, conns int) UpstreamOption {
+	return func(u *Upstream) { u.opening, u.maxConns = cost, conns }
+}
+
+// WithCold sets how many requests a cold upstream bears at a time and after
+// how many served it is warm.
+func WithCold(bears, warmup int) UpstreamOption {
+	return func(u *Upstream) { u.bears, u.warmup = bears, warmup }
+}
+
+// WithVersions sets the index versions that are served.
+func WithVersions(numbers ...uint64) UpstreamOption {
+	return func(u *Upstream) { u.versions = numbers }
+}
+
+// WithLedger sets the ledger that counts the runs.
+func WithLedger(ledger *Ledger) UpstreamOption {
+	return func(u *Upstream) { u.ledger = ledger }
+}
+
+// WithDetached lets a request that its client has given up run to its end.
+func WithDetached() UpstreamOption { return func(u *Upstream) { u.detached = true } }
+
+// WithSeed sets the seed of the spread of service times.
+func WithSeed(seed uint64) UpstreamOption {
+	return func(u *Upstream) { u.random = rand.New(rand.NewPCG(seed, seed)) }
+}
--- a/internal/driftfake/upstream.go
+++ b/internal/driftfake/upstream.go
@@ -16,8 +16,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +40,9 @@
 	warmup   int
 	maxQueue int
 
+	ledger   *Ledger
+	detached bool
+
 	mu       sync.Mutex
 	random   *rand.Rand
 	boot     uint64
@@ -45,36 +50,20 @@
 	cold     bool
 	served   int
 	toppled  time.Time
+	signed   time.Time
 	leaving  time.Time
+	out      time.Time
 	parted   bool
 	slow     float64
 	mode     Mode
 	flight   int
 	conns    int
+	open     map[*conn]struct{}
+	reported *driftshard.Load
 	running  chan struct{}
-	runs     map[string]int
 	counts   Counts
 }
 
-// Counts is what an Upstream has counted for itself.
-type Counts struct {
-	// Requests arrived, Runs were executed, Sheds refused under load.
-	Requests, Runs, Sheds int
-	// ColdOver counts the requests that arrived when a cold upstream already
-	// had as many in flight as it bears.
-	ColdOver int
-	// Repeats counts the runs of an id after its first, for requests that
-	// are not idempotent.
-	Repeats int
-	// AfterLeaving counts the requests that arrived more than three seconds
-	// after the upstream began to leave.
-	AfterLeaving int
-	// PeakFlight and PeakConns are the highest numbers seen at a time.
-	PeakFlight, PeakConns int
-	// Opened counts the connections that were opened.
-	Opened int
-}
-
 // Mode is a fault in the replies of an Upstream.
 type Mode int
 
@@ -93,54 +82,18 @@
 	Drop
 )
 
-// leavingGrace is how long new work may reach a leaving upstream.
-const leavingGrace = 3 * time.Second
-
 // toppleTime is how long a cold upstream that was overloaded sheds all.
 const toppleTime = time.Second
 
 // coldFactor is how much slower a cold upstream is.
 const coldFactor = 5
 
-// UpstreamOption changes an Upstream that NewUpstream makes.
-type UpstreamOption func(*Upstream)
-
-// WithSlots sets how many requests run at a time.
-func WithSlots(slots int) UpstreamOption { return func(u *Upstream) { u.slots = slots } }
-
-// WithService sets the mean time of a request and its spread, a share of
-// the mean between 0 and 1.
-func WithService(mean time.Duration, jitter float64) UpstreamOption {
-	return func(u *Upstream) { u.service, u.jitter = mean, jitter }
-}
-
-// WithOpening sets the cost of a new connection and the number allowed.
-func WithOpening(cost time.Duration, conns int) UpstreamOption {
-	return func(u *Upstream) { u.opening, u.maxConns = cost, conns }
-}
-
-// WithCold sets how many requests a cold upstream bears at a time and after
-// how many served it is warm.
-func WithCold(bears, warmup int) UpstreamOption {
-	return func(u *Upstream) { u.bears, u.warmup = bears, warmup }
-}
-
-// WithVersions sets the index versions that are served.
-func WithVersions(numbers ...uint64) UpstreamOption {
-	return func(u *Upstream) { u.versions = numbers }
-}
-
-// WithSeed sets the seed of the spread of service times.
-func WithSeed(seed uint64) UpstreamOption {
-	return func(u *Upstream) { u.random = rand.New(rand.NewPCG(seed, seed)) }
-}
-
 // NewUpstream returns a warm upstream that serves version 1.
 func NewUpstream(name string, opts ...UpstreamOption) *Upstream {
 	u := &Upstream{
 		Name: name, slots: 4, service: 3 * time.Millisecond, jitter: 0.5,
 		maxConns: 35, bears: 1, warmup: 20, maxQueue: 64, boot: 1, slow: 1,
-		versions: []uint64{1}, runs: make(map[string]int),
+		versions: []uint64{1}, open: make(map[*conn]struct{}), ledger: NewLedger(),
 		random: rand.New(rand.NewPCG(1, 1)),
 	}
 	for _, opt := range opts {
@@ -154,17 +107,38 @@
 func (u *Upstream) Cool() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.cold, u.served = true, 0
+	u.cool()
+}
+
+func (u *Upstream) cool() {
+	u.cold, u.served, u.signed = true, 0, time.Time{}
 }
 
-// Restart makes the upstream cold with a new boot number.
+// Restart makes the upstream cold with a new boot number. Its connections
+// are reset.
 func (u *Upstream) Restart() {
-	u.Cool()
 	u.mu.Lock()
-	defer u.mu.Unlock()
+	u.cool()
 	u.boot++
-	u.leaving = time.Time{}
-	u.parted = false
+	u.leaving, u.parted = time.Time{}, false
+	if len(u.open) > 0 {
+		u.sign()
+	}
+	reset := slices.Collect(maps.Keys(u.open))
+	u.mu.Unlock()
+	for _, c := range reset {
+		_ = c.Close()
+	}
+}
+
+// SilenceConnections makes the connections of now silent for good. New ones
+// work.
+func (u *Upstream) SilenceConnections() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for c := range u.open {
+		c.silent.Store(true)
+	}
 }
 
 // Leave begins to drain: requests are refused as leaving.
@@ -174,6 +148,30 @@
 	u.leaving, u.parted = time.Now(), true
 }
 
+// CountLeaving sets the moment from which new work is counted as sent after
+// leaving, for a test in which the news comes late. Zero counts nothing.
+func (u *Upstream) CountLeaving(since time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.leaving = since
+}
+
+// CountOut sets the moment from which the failure domain is out. Zero means
+// that it is in.
+func (u *Upstream) CountOut(since time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.out = since
+}
+
+// SetReport makes the upstream report the given load, true or not, or its
+// own one again when nil.
+func (u *Upstream) SetReport(load *driftshard.Load) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.reported = load
+}
+
 // SetSlow makes every request slower by the factor.
 func (u *Upstream) SetSlow(factor float64) {
 	u.mu.Lock()
@@ -216,12 +214,27 @@
 	Body   driftupstream.Found
 }
 
-// serve handles one request to its end.
+// serve handles one request to its end, or to the end of ctx.
 func (u *Upstream) serve(ctx context.Context, s driftupstream.Search) answer {
 	early, mode := u.arrive(s)
 	if early.Status != 0 {
 		return early
 	}
+	if !u.detached || mode == Silent {
+		return u.execute(ctx, s, mode)
+	}
+	done := make(chan answer, 1)
+	go func() { done <- u.execute(context.WithoutCancel(ctx), s, mode) }()
+	select {
+	case a := <-done:
+		return a
+	case <-ctx.Done():
+		return answer{}
+	}
+}
+
+// execute waits for a slot and runs an admitted request.
+func (u *Upstream) execute(ctx context.Context, s driftupstream.Search, mode Mode) answer {
 	defer u.depart()
 	if mode == Silent {
 		<-ctx.Done()
@@ -233,12 +246,10 @@
 		return answer{}
 	}
 	defer func() { <-u.running }()
-	took := u.run(s)
-	timer := time.NewTimer(took)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	if ctx.Err() != nil {
+		return answer{}
+	}
+	if err := wait(ctx, u.run(s)); err != nil {
 		return answer{}
 	}
 	return u.finish(s, mode)
@@ -251,28 +262,30 @@
 	defer u.mu.Unlock()
 	now := time.Now()
 	u.counts.Requests++
-	if !u.leaving.IsZero() && now.Sub(u.leaving) > leavingGrace {
-		u.counts.AfterLeaving++
-	}
+	u.countForbidden(now)
 	switch {
 	case u.parted:
 		return answer{Status: http.StatusGone}, 0
 	case !u.serves(s.Version):
 		return answer{Status: http.StatusConflict, Body: u.stamp(s)}, 0
-	case now.Before(u.toppled), u.flight >= u.slots+u.maxQueue:
-		u.counts.Sheds++
-		return answer{Status: http.StatusServiceUnavailable, Body: u.stamp(s)}, 0
 	case u.cold && u.flight >= u.bears:
-		u.counts.ColdOver++
-		u.counts.Sheds++
+		u.countCold(now)
 		u.toppled = now.Add(toppleTime)
-		return answer{Status: http.StatusServiceUnavailable, Body: u.stamp(s)}, 0
+		return u.shed(s), 0
+	case now.Before(u.toppled), u.flight >= u.slots+u.maxQueue:
+		return u.shed(s), 0
 	}
 	u.flight++
 	u.counts.PeakFlight = max(u.counts.PeakFlight, u.flight)
 	return answer{}, u.mode
 }
 
+func (u *Upstream) shed(s driftupstream.Search) answer {
+	u.counts.Sheds++
+	u.sign()
+	return answer{Status: http.StatusServiceUnavailable, Body: u.stamp(s)}
+}
+
 func (u *Upstream) depart() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -284,11 +297,8 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.counts.Runs++
-	if s.Once {
-		u.runs[s.Request]++
-		if u.runs[s.Request] > 1 {
-			u.counts.Repeats++
-		}
+	if s.Once && u.ledger.add(s.Request) {
+		u.counts.Repeats++
 	}
 	factor := u.slow * (1 + u.jitter*(2*u.random.Float64()-1))
 	if u.cold {
@@ -302,6 +312,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.served++
+	u.sign()
 	if u.cold && u.served >= u.warmup {
 		u.cold = false
 	}
@@ -324,27 +335,18 @@
 }
 
 func (u *Upstream) serves(version uint64) bool {
-	for _, v := range u.versions {
-		if v == version {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(u.versions, version)
 }
 
 // stamp returns a body with the fields that every reply carries. The caller
 // holds the lock.
 func (u *Upstream) stamp(s driftupstream.Search) driftupstream.Found {
 	f := driftupstream.Found{Attempt: s.Attempt, Version: s.Version, Boot: u.boot, Busy: u.flight}
+	if u.reported != nil {
+		f.Busy, f.Queue = u.reported.Flight, u.reported.Queue
+	}
 	if !u.serves(s.Version) && len(u.versions) > 0 {
 		f.Version = u.versions[0]
 	}
 	return f
 }
-
-// Runs returns how often the request id was executed.
-func (u *Upstream) Runs(request string) int {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.runs[request]
-}
