Scripts of faults over a fleet of eight nodes in virtual time

Ruled out: parsing the scripts ourselves; testscript.RunT takes an own T whose Run calls the script on the goroutine of the bubble.

--- a/internal/driftfake/gate.go
+++ b/internal/driftfake/gate.go
@@ -44,6 +44,11 @@
 	}
 }
 
+// Closed reports whether the VM is paused.
+func (g *Gate) Closed() bool {
+	return g.wait() != nil
+}
+
 func (g *Gate) wait() <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/driftfake/ledger.go
+++ b/internal/driftfake/ledger.go
@@ -2,9 +2,8 @@
 
 import "sync"
 
-// Ledger counts the runs of requests that are not idempotent over all the
-// upstreams that share it, since a repeat may land on another replica. It is
-// safe for concurrent use.
+// Ledger counts the runs of requests over all the upstreams that share it,
+// since a repeat may land on another replica. It is safe for concurrent use.
 type Ledger struct {
 	mu      sync.Mutex
 	runs    map[string]int
@@ -16,28 +15,30 @@
 	return &Ledger{runs: make(map[string]int)}
 }
 
-// Runs returns how often the request id was run.
+// Runs returns how often the request id was run, on any shard.
 func (l *Ledger) Runs(request string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.runs[request]
 }
 
-// Repeats returns the number of runs of an id after its first, of all ids.
+// Repeats returns the number of runs after its first of every id that is not
+// idempotent.
 func (l *Ledger) Repeats() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.repeats
 }
 
-// add counts one run and reports whether it is a repeat.
-func (l *Ledger) add(request string) bool {
+// add counts one run and reports whether it repeats a request that may run
+// once.
+func (l *Ledger) add(request string, once bool) (repeat bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs[request]++
-	if l.runs[request] == 1 {
-		return false
+	repeat = once && l.runs[request] > 1
+	if repeat {
+		l.repeats++
 	}
-	l.repeats++
-	return true
+	return repeat
 }
--- a/internal/driftfake/platform.go
+++ b/internal/driftfake/platform.go
@@ -62,6 +62,13 @@
 	return number
 }
 
+// Number returns the newest revision of a key, 0 when it has none.
+func (p *Platform) Number(key string) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.values[key].Number
+}
+
 // SetDown makes the configuration service and the VM list fail, or work.
 func (p *Platform) SetDown(down bool) {
 	p.mu.Lock()
--- a/internal/driftfake/upstream.go
+++ b/internal/driftfake/upstream.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -80,6 +81,8 @@
 	Short
 	// Drop runs the request and closes the connection without a reply.
 	Drop
+	// Other replies are those of another index version.
+	Other
 )
 
 // toppleTime is how long a cold upstream that was overloaded sheds all.
@@ -297,7 +300,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.counts.Runs++
-	if s.Once && u.ledger.add(s.Request) {
+	if u.ledger.add(s.Request, s.Once) {
 		u.counts.Repeats++
 	}
 	factor := u.slow * (1 + u.jitter*(2*u.random.Float64()-1))
@@ -317,9 +320,12 @@
 		u.cold = false
 	}
 	f := u.stamp(s)
+	if mode == Other {
+		f.Version++
+	}
 	f.Depots = s.Depots
 	for _, d := range s.Depots {
-		f.Rows = append(f.Rows, driftshard.Row{Depot: d, Text: s.Text})
+		f.Rows = append(f.Rows, driftshard.Row{Depot: d, Text: RowText(s.Text, f.Version)})
 	}
 	f.Count = len(f.Rows)
 	switch mode {
@@ -329,11 +335,17 @@
 		f.Rows = f.Rows[:len(f.Rows)/2]
 	case Drop:
 		return answer{}
-	case Sound, Silent:
+	case Sound, Silent, Other:
 	}
 	return answer{Status: http.StatusOK, Body: f}
 }
 
+// RowText is the text of a row that a stand-in finds: what was searched for
+// and the index version that it was found in.
+func RowText(text string, version uint64) string {
+	return fmt.Sprintf("%s in version %d", text, version)
+}
+
 func (u *Upstream) serves(version uint64) bool {
 	return slices.Contains(u.versions, version)
 }
--- /dev/null
+++ b/internal/drifttest/caller.go
@@ -0,0 +1,204 @@
+package drifttest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+	"github.com/almonddrift/almonddrift/internal/driftfront"
+	"github.com/almonddrift/almonddrift/pkg/driftapi"
+)
+
+// maxTries is how many VMs a caller asks for one request.
+const maxTries = 3
+
+// defaultDeadline is how long callers wait when a Load does not say.
+const defaultDeadline = 500 * time.Millisecond
+
+// errLost is what a caller gets that loses its VM in the middle.
+var errLost = errors.New("connection lost")
+
+// errClosed is what a caller gets that cannot connect to a VM.
+var errClosed = errors.New("connection refused")
+
+// Load is queries of one class, sent at random moments.
+type Load struct {
+	Class string
+	// Rate is the mean number of queries a second, Time how long they come.
+	Rate     float64
+	Time     time.Duration
+	Deadline time.Duration
+	Seed     uint64
+	// Depots limits the queries; empty means all. A query that may run once
+	// names depots of one shard.
+	Depots []string
+}
+
+// Load sends the load and waits for its end.
+func (f *Fleet) Load(l Load) *Tally {
+	tally := &Tally{Reasons: make(map[string]int)}
+	random := rand.New(rand.NewPCG(f.seed, l.Seed))
+	if l.Deadline == 0 {
+		l.Deadline = defaultDeadline
+	}
+	run := f.nextRun()
+	var waiting sync.WaitGroup
+	end := time.Now().Add(l.Time)
+	for i := 0; ; i++ {
+		time.Sleep(time.Duration(random.ExpFloat64() / l.Rate * float64(time.Second)))
+		if !time.Now().Before(end) {
+			break
+		}
+		q := driftapi.Query{
+			Request: fmt.Sprintf("%s-%d-%d", l.Class, run, i), Class: l.Class, Depots: l.Depots,
+			Text: fmt.Sprintf("text %d-%d", run, i), Deadline: l.Deadline.Milliseconds(),
+		}
+		first := random.IntN(vmCount)
+		waiting.Go(func() { f.ask(tally, q, first) })
+	}
+	waiting.Wait()
+	f.checkRefused(tally)
+	return tally
+}
+
+func (f *Fleet) nextRun() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.number++
+	return f.number
+}
+
+// ask sends a query to one VM after another, as callers do: the next one
+// only when the request did not run.
+func (f *Fleet) ask(t *Tally, q driftapi.Query, first int) {
+	started := time.Now()
+	names := f.entries(first)
+	var refusal driftapi.Refusal
+	for _, vm := range names[:min(maxTries, len(names))] {
+		left := time.Duration(q.Deadline)*time.Millisecond - time.Since(started)
+		if left < time.Millisecond {
+			break
+		}
+		try := q
+		try.Deadline = left.Milliseconds()
+		outcome, err := f.askVM(vm, try)
+		if errors.Is(err, errClosed) {
+			continue
+		}
+		if err != nil {
+			t.lost()
+			return
+		}
+		if done := f.note(t, q, outcome, time.Since(started)); done {
+			return
+		}
+		if r, ok := outcome.(driftfront.Refused); ok {
+			refusal = r.Refusal
+		}
+	}
+	t.refuse(q.Request, refusal.Reason)
+}
+
+// entries returns the VMs that a caller knows, from one that it could reach.
+func (f *Fleet) entries(first int) []string {
+	names := VMs()
+	for i := range names {
+		vm := names[(first+i)%len(names)]
+		if !f.Alive(vm) || f.Network.Gate(vm).Closed() {
+			continue
+		}
+		var known []string
+		for _, e := range f.Node(vm).Steer.Entries(fmt.Sprintf("caller-%d", first), f.domains[vm]).Entries {
+			known = append(known, e.Name)
+		}
+		return known
+	}
+	return nil
+}
+
+// askVM sends a query to one VM. The answer is lost when the VM dies or is
+// paused beyond the deadline.
+func (f *Fleet) askVM(vm string, q driftapi.Query) (outcome driftfront.Outcome, err error) {
+	life := f.life(vm)
+	if life.Err() != nil {
+		return nil, errClosed
+	}
+	node, gate := f.Node(vm), f.Network.Gate(vm)
+	limit := time.Duration(q.Deadline)*time.Millisecond + callerSlack
+	waiting, cancel := context.WithTimeout(f.t.Context(), limit)
+	defer cancel()
+	replies := make(chan driftfront.Outcome, 1)
+	go func() {
+		gate.Pass()
+		o := node.Front.Query(life, q)
+		gate.Pass()
+		replies <- o
+	}()
+	select {
+	case o := <-replies:
+		if life.Err() != nil {
+			return nil, errLost
+		}
+		return o, nil
+	case <-life.Done():
+		return nil, errLost
+	case <-waiting.Done():
+		return nil, errLost
+	}
+}
+
+// callerSlack is how much longer than its deadline a caller listens.
+const callerSlack = 100 * time.Millisecond
+
+// note counts an outcome and reports whether the caller is done.
+func (f *Fleet) note(t *Tally, q driftapi.Query, outcome driftfront.Outcome, took time.Duration) bool {
+	switch o := outcome.(type) {
+	case driftfront.Answered:
+		f.checkAnswer(q, o.Answer)
+		t.answer(o.Answer, took)
+		return true
+	case driftfront.Refused:
+		if o.Refusal.Ran == driftapi.RanNo {
+			return false
+		}
+		t.unknown(o.Refusal.Reason)
+		return true
+	}
+	return false
+}
+
+// checkAnswer asserts, as a caller can, that an answer is whole, its own, of
+// one version, and that it states truly what was searched.
+func (f *Fleet) checkAnswer(q driftapi.Query, a driftapi.Answer) {
+	if a.Request != q.Request {
+		f.fault("caller: answer to %q came for %q", a.Request, q.Request)
+	}
+	var found []string
+	for _, row := range a.Rows {
+		found = append(found, row.Depot)
+		if row.Text != driftfake.RowText(q.Text, a.Version) {
+			f.fault("caller: %q got row %q in an answer of version %d", q.Request, row.Text, a.Version)
+		}
+	}
+	slices.Sort(found)
+	if !slices.Equal(found, slices.Sorted(slices.Values(a.Searched))) {
+		f.fault("caller: %q has rows of %d depots and states %d searched", q.Request, len(found), len(a.Searched))
+	}
+	if a.Complete != (len(a.Missing) == 0) {
+		f.fault("caller: %q complete %t with %d missing", q.Request, a.Complete, len(a.Missing))
+	}
+}
+
+// checkRefused asserts that what was refused as not run did not run.
+func (f *Fleet) checkRefused(t *Tally) {
+	for _, id := range t.refusedIDs {
+		if runs := f.Ledger.Runs(id); runs > 0 {
+			f.fault("caller: %q was refused as not run and ran %d times", id, runs)
+		}
+	}
+}
--- /dev/null
+++ b/internal/drifttest/fault.go
@@ -0,0 +1,221 @@
+package drifttest
+
+import (
+	"slices"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftdocument"
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+)
+
+// DomainOut marks a failure domain out.
+func (f *Fleet) DomainOut(domain string) {
+	if slices.Contains(f.marks.Domains, domain) {
+		return
+	}
+	f.marks.Domains = append(slices.Clone(f.marks.Domains), domain)
+	f.publishMarks()
+}
+
+// DomainIn takes the mark of a failure domain away.
+func (f *Fleet) DomainIn(domain string) {
+	f.marks.Domains = without(f.marks.Domains, domain)
+	f.publishMarks()
+}
+
+// VMOut marks a VM out.
+func (f *Fleet) VMOut(vm string) {
+	f.marks.VMs = append(without(f.marks.VMs, vm), vm)
+	f.publishMarks()
+}
+
+// VMIn takes the mark of a VM away.
+func (f *Fleet) VMIn(vm string) {
+	f.marks.VMs = without(f.marks.VMs, vm)
+	f.publishMarks()
+}
+
+func without(names []string, name string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
+}
+
+func (f *Fleet) publishMarks() {
+	f.Platform.Put(driftdocument.KeyMarks, f.marks)
+	f.countMarks()
+}
+
+// countMarks tells the stand-ins from when they may get no new work. While
+// the platform is down or stale nobody can know, so nothing is counted.
+func (f *Fleet) countMarks() {
+	now := time.Now()
+	if f.hidden {
+		now = time.Time{}
+	}
+	for i := range f.Size.Shards {
+		for j := range f.Size.Replicas {
+			u := f.Upstreams[i*f.Size.Replicas+j]
+			out, left := time.Time{}, time.Time{}
+			if slices.Contains(f.marks.Domains, f.Size.Domain(i, j)) {
+				out = now
+			}
+			if f.left[u.Name] {
+				left = now
+			}
+			u.CountOut(out)
+			u.CountLeaving(left)
+		}
+	}
+}
+
+// UpstreamLeave lets an upstream drain, and publishes it.
+func (f *Fleet) UpstreamLeave(name string) {
+	f.Upstream(name).Leave()
+	f.left[name] = true
+	f.publishUpstreams()
+	f.countMarks()
+}
+
+// UpstreamRestart restarts an upstream: it comes back cold, and no longer
+// leaving.
+func (f *Fleet) UpstreamRestart(name string) {
+	f.Upstream(name).Restart()
+	if f.left[name] {
+		delete(f.left, name)
+		f.publishUpstreams()
+	}
+	f.countMarks()
+}
+
+// DomainCold restarts every upstream of a failure domain.
+func (f *Fleet) DomainCold(domain string) {
+	for i := range f.Size.Shards {
+		for j := range f.Size.Replicas {
+			if f.Size.Domain(i, j) == domain {
+				f.Upstreams[i*f.Size.Replicas+j].Restart()
+			}
+		}
+	}
+}
+
+// PlatformDown makes the platform fail, or work again.
+func (f *Fleet) PlatformDown(down bool) {
+	f.Platform.SetDown(down)
+	f.hidden = down
+	f.countMarks()
+}
+
+// PlatformStale makes the configuration service answer with its values of
+// now, or with the newest again.
+func (f *Fleet) PlatformStale(stale bool) {
+	f.Platform.SetStale(stale)
+	f.hidden = stale
+	f.countMarks()
+}
+
+// Vanish kills a VM; the published list shows it after its lag.
+func (f *Fleet) Vanish(vm string) {
+	f.Kill(vm)
+	f.gone[vm] = true
+	f.listLive()
+}
+
+// Return starts a VM that was killed; the published list shows it after its
+// lag.
+func (f *Fleet) Return(vm string) {
+	if f.Alive(vm) {
+		return
+	}
+	delete(f.gone, vm)
+	f.Start(vm)
+	f.listLive()
+}
+
+func (f *Fleet) listLive() {
+	var gone []string
+	for _, vm := range VMs() {
+		if f.gone[vm] {
+			gone = append(gone, vm)
+		}
+	}
+	f.List(gone...)
+}
+
+// Leave shuts a VM down as SIGTERM does: it announces that it leaves, serves
+// its callers for as long as they may keep its address, and then ends.
+func (f *Fleet) Leave(vm string) {
+	f.Node(vm).Control.Leave(f.life(vm))
+	time.AfterFunc(callerLife+leaveSlack, func() { f.Vanish(vm) })
+}
+
+// leaveSlack is the time for requests in flight to end.
+const leaveSlack = 2 * time.Second
+
+// Freeze stops the control plane of a VM, which goes on to serve traffic
+// with its last view of the fleet, as a process does that wakes up late.
+func (f *Fleet) Freeze(vm string) {
+	f.mu.Lock()
+	stop := f.cancels[vm]
+	f.mu.Unlock()
+	stop()
+}
+
+// Pause holds all that a VM sends and receives until Resume.
+func (f *Fleet) Pause(vm string) {
+	f.Network.Gate(vm).Pause()
+}
+
+// Resume lets a paused VM go on.
+func (f *Fleet) Resume(vm string) {
+	f.Network.Gate(vm).Resume()
+}
+
+func (f *Fleet) resumeAll() {
+	for _, vm := range VMs() {
+		f.Resume(vm)
+	}
+}
+
+// Cut drops what two VMs send each other, or lets it pass.
+func (f *Fleet) Cut(a, b string, cut bool) {
+	f.Network.Cut(a, b, cut)
+	f.Network.Cut(b, a, cut)
+}
+
+// CutDomains drops what the VMs of two failure domains send each other, or
+// lets it pass.
+func (f *Fleet) CutDomains(a, b string, cut bool) {
+	for _, x := range VMs() {
+		for _, y := range VMs() {
+			if f.domains[x] == a && f.domains[y] == b {
+				f.Cut(x, y, cut)
+			}
+		}
+	}
+}
+
+// Heal ends every cut, silence and pause.
+func (f *Fleet) Heal() {
+	for _, a := range VMs() {
+		for _, b := range VMs() {
+			f.Network.Cut(a, b, false)
+			f.Network.Silence(a, b, false)
+		}
+	}
+	f.resumeAll()
+}
+
+// RollOut publishes index versions and has the upstreams of the given
+// replicas serve them; others keep what they serve.
+func (f *Fleet) RollOut(replicas []int, numbers ...uint64) {
+	for i := range f.Size.Shards {
+		for _, j := range replicas {
+			f.Upstreams[i*f.Size.Replicas+j].SetVersions(numbers...)
+		}
+	}
+	f.Platform.Put(driftdocument.KeyVersionsPrefix+f.Size.Service, f.Size.VersionsDocument(numbers...))
+}
+
+// SetMode sets the fault in the replies of an upstream.
+func (f *Fleet) SetMode(name string, mode driftfake.Mode) {
+	f.Upstream(name).SetMode(mode)
+}
--- a/internal/drifttest/fleet.go
+++ b/internal/drifttest/fleet.go
@@ -1,17 +1,23 @@
-// Package drifttest runs a few nodes of the system in one bubble of virtual
-// time over the stand-ins of driftfake, for tests of failures.
+// Package drifttest runs eight nodes of the system in one bubble of virtual
+// time over the stand-ins of driftfake, causes faults in them, and asks them
+// as callers do. Scripts in testdata, randomised runs and the measurement of
+// the policy all use it.
 //
 // # Usage
 //
 //	synctest.Test(t, func(t *testing.T) {
 //		fleet := drifttest.NewFleet(t, driftfake.Oshana())
-//		outcome := fleet.Query("vm-1", driftapi.Query{Request: "q-1", Class: "counter", Deadline: 200})
+//		fleet.DomainOut("Oshakati")
+//		tally := fleet.Load(drifttest.Load{Class: "counter", Rate: 100, Time: time.Second})
+//		fmt.Println(tally.Least, fleet.Faults())
 //	})
 package drifttest
 
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -38,29 +44,59 @@
 // settleTime is how long a new fleet runs before it is used.
 const settleTime = 5 * time.Second
 
+// callerLife is how long callers keep the list of entry VMs.
+const callerLife = 10 * time.Second
+
 // Fleet is eight nodes over stand-ins. Make it inside a synctest bubble.
 type Fleet struct {
 	Size      driftfake.Size
 	Platform  *driftfake.Platform
 	Upstreams []*driftfake.Upstream
+	Ledger    *driftfake.Ledger
 	Dialer    *driftfake.Dialer
 	Network   *driftfake.Network
 	Nodes     map[string]*driftnode.Node
 
-	t       *testing.T
+	t       testing.TB
+	seed    uint64
+	collect bool
 	domains map[string]string
 	cancels map[string]context.CancelFunc
+	live    map[string]context.Context
 	boot    uint64
+	marks   driftdocument.Marks
+	left    map[string]bool
+	gone    map[string]bool
+	hidden  bool
+	number  int
+
+	mu     sync.Mutex
+	faults []string
 }
 
+// Option changes a Fleet that NewFleet makes.
+type Option func(*Fleet)
+
+// WithSeed sets the seed of the stand-ins.
+func WithSeed(seed uint64) Option { return func(f *Fleet) { f.seed = seed } }
+
+// WithCollect keeps violations for Faults instead of failing the test at
+// once.
+func WithCollect() Option { return func(f *Fleet) { f.collect = true } }
+
 // NewFleet starts a fleet and lets it settle. The fleet stops with the test.
-func NewFleet(t *testing.T, size driftfake.Size) *Fleet {
-	t.Helper()
+func NewFleet(tb testing.TB, size driftfake.Size, opts ...Option) *Fleet {
+	tb.Helper()
 	f := &Fleet{
-		Size: size, Platform: driftfake.NewPlatform(), Upstreams: size.Upstreams(1),
-		Nodes: make(map[string]*driftnode.Node), t: t,
+		Size: size, Platform: driftfake.NewPlatform(), Ledger: driftfake.NewLedger(),
+		Nodes: make(map[string]*driftnode.Node), t: tb, seed: 1,
 		domains: make(map[string]string), cancels: make(map[string]context.CancelFunc),
+		live: make(map[string]context.Context), left: make(map[string]bool), gone: make(map[string]bool),
+	}
+	for _, opt := range opts {
+		opt(f)
 	}
+	f.Upstreams = size.Upstreams(f.seed, driftfake.WithLedger(f.Ledger))
 	f.Dialer = driftfake.NewDialer(f.Upstreams...)
 	f.Network = driftfake.NewNetwork(f.delay)
 	f.publish()
@@ -71,6 +107,7 @@
 	for i := range vmCount {
 		f.Start(name(i))
 	}
+	tb.Cleanup(f.resumeAll)
 	time.Sleep(settleTime)
 	return f
 }
@@ -79,6 +116,15 @@
 	return fmt.Sprintf("vm-%d", i+1)
 }
 
+// VMs returns the names of all VMs.
+func VMs() []string {
+	names := make([]string, 0, vmCount)
+	for i := range vmCount {
+		names = append(names, name(i))
+	}
+	return names
+}
+
 func (f *Fleet) delay(from, to string) time.Duration {
 	if f.domains[from] == f.domains[to] {
 		return nearDelay
@@ -90,21 +136,23 @@
 	f.Platform.Put(driftdocument.KeyDomains, f.Size.DomainsDocument())
 	f.Platform.Put(driftdocument.KeyClasses, f.Size.ClassesDocument())
 	f.Platform.Put(driftdocument.KeyMarks, driftdocument.Marks{})
-	f.Platform.Put(driftdocument.KeyUpstreamsPrefix+f.Size.Service,
-		f.Size.UpstreamsDocument(func(string) string { return "127.0.0.1:1" }))
+	f.publishUpstreams()
 	f.Platform.Put(driftdocument.KeyVersionsPrefix+f.Size.Service, f.Size.VersionsDocument(1))
 }
 
+func (f *Fleet) publishUpstreams() {
+	d := f.Size.UpstreamsDocument(func(string) string { return "127.0.0.1:1" })
+	for i := range d.Upstreams {
+		d.Upstreams[i].Leaving = f.left[d.Upstreams[i].Name]
+	}
+	f.Platform.Put(driftdocument.KeyUpstreamsPrefix+f.Size.Service, d)
+}
+
 // List publishes the VM list with all VMs but the named ones.
 func (f *Fleet) List(without ...string) {
-	gone := make(map[string]bool)
-	for _, w := range without {
-		gone[w] = true
-	}
 	var listed []driftplatform.ListedVM
-	for i := range vmCount {
-		n := name(i)
-		if !gone[n] {
+	for _, n := range VMs() {
+		if !slices.Contains(without, n) {
 			listed = append(listed, driftplatform.ListedVM{Name: n, Domain: f.domains[n], Callers: n, Peers: n})
 		}
 	}
@@ -117,16 +165,20 @@
 	f.boot++
 	events := driftevent.NewLog(vm, f.boot)
 	checker := driftcheck.NewChecker(events, driftcheck.WithViolation(func(v driftcheck.Violation) {
-		f.t.Errorf("%s: promise %s violated by request %q: %s", vm, v.Promise, v.Request, v.Detail)
+		f.fault("%s: promise %s violated by request %q: %s", vm, v.Promise, v.Request, v.Detail)
 	}))
+	gate := f.Network.Gate(vm)
+	platform := driftfake.GatedPlatform{Platform: f.Platform, Gate: gate}
 	node := driftnode.New(driftnode.Parts{
 		Self:   drifttable.VM{Name: vm, Domain: f.domains[vm], Boot: f.boot, Callers: vm, Peers: vm},
-		Config: f.Platform, Lister: f.Platform, Transport: f.Network.Transport(vm),
-		Dialer: f.Dialer, Events: events, Checker: checker, Life: 10 * time.Second,
+		Config: platform, Lister: platform, Transport: f.Network.Transport(vm),
+		Dialer: driftfake.GatedDialer{Dialer: f.Dialer, Gate: gate},
+		Events: events, Checker: checker, Life: callerLife,
 	})
 	ctx, cancel := context.WithCancel(f.t.Context())
-	f.cancels[vm] = cancel
-	f.Nodes[vm] = node
+	f.mu.Lock()
+	f.cancels[vm], f.live[vm], f.Nodes[vm] = cancel, ctx, node
+	f.mu.Unlock()
 	f.Network.Join(vm, node.Server)
 	go func() { _ = node.Run(ctx) }()
 	return node
@@ -134,13 +186,28 @@
 
 // Kill stops a VM at once, as a crash does.
 func (f *Fleet) Kill(vm string) {
+	f.Network.Gate(vm).Resume()
 	f.Network.Remove(vm)
-	f.cancels[vm]()
+	f.Freeze(vm)
 }
 
 // Query sends a query to a VM and waits for the outcome.
 func (f *Fleet) Query(vm string, q driftapi.Query) driftfront.Outcome {
-	return f.Nodes[vm].Front.Query(f.t.Context(), q)
+	return f.Node(vm).Front.Query(f.t.Context(), q)
+}
+
+// Node returns the newest incarnation of a VM.
+func (f *Fleet) Node(vm string) *driftnode.Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Nodes[vm]
+}
+
+// life returns the context that ends with the VM.
+func (f *Fleet) life(vm string) context.Context {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.live[vm]
 }
 
 // Upstream returns the stand-in with the given name.
@@ -154,3 +221,47 @@
 	f.t.Fatalf("no upstream %q", name)
 	return nil
 }
+
+// Alive reports whether the VM runs.
+func (f *Fleet) Alive(vm string) bool {
+	return f.life(vm).Err() == nil
+}
+
+// fault notes a broken promise. It fails the test unless faults are
+// collected.
+func (f *Fleet) fault(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	f.mu.Lock()
+	f.faults = append(f.faults, text)
+	f.mu.Unlock()
+	if !f.collect {
+		f.t.Error(text)
+	}
+}
+
+// Faults returns the broken promises that the checks inside the nodes, the
+// callers and the stand-ins have seen.
+func (f *Fleet) Faults() []string {
+	f.mu.Lock()
+	faults := slices.Clone(f.faults)
+	f.mu.Unlock()
+	return append(faults, f.counted()...)
+}
+
+// counted returns what the stand-ins have counted against the promises.
+func (f *Fleet) counted() []string {
+	var faults []string
+	count := func(name, what string, number int) {
+		if number > 0 {
+			faults = append(faults, fmt.Sprintf("%s: %s: %d", name, what, number))
+		}
+	}
+	count("upstreams", "repeated runs", f.Ledger.Repeats())
+	for _, u := range f.Upstreams {
+		c := u.Counts()
+		count(u.Name, "over what it bears while cold", c.ColdOver)
+		count(u.Name, "new work after leaving", c.AfterLeaving)
+		count(u.Name, "new work after its domain was out", c.AfterOut)
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/drifttest/script_test.go
@@ -0,0 +1,60 @@
+package drifttest
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/stretchr/testify/require"
+
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+)
+
+// TestScenarios runs each script of testdata in a bubble of its own, over a
+// fleet of the user that its name ends in, Oshana without one.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		path, err := filepath.Abs(file)
+		require.NoError(t, err)
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
+			t.Parallel()
+			skipKnownRed(t)
+			synctest.Test(t, func(t *testing.T) {
+				runScenario(t, path)
+			})
+		})
+	}
+}
+
+func runScenario(t *testing.T, file string) {
+	t.Helper()
+	size := driftfake.Oshana()
+	if strings.Contains(file, "tacada") {
+		size = driftfake.Tacada()
+	}
+	s := &scenario{fleet: NewFleet(t, size, WithCollect())}
+	testscript.RunT(bubble{t}, testscript.Params{
+		Files: []string{file}, Cmds: s.verbs(), WorkdirRoot: t.TempDir(),
+	})
+	require.Empty(t, s.fleet.Faults())
+}
+
+// bubble lets testscript run its commands on the goroutine of a synctest
+// bubble, in which subtests are not allowed.
+type bubble struct {
+	*testing.T
+}
+
+// Parallel implements testscript.T.
+func (b bubble) Parallel() {}
+
+// Run implements testscript.T.
+func (b bubble) Run(_ string, f func(testscript.T)) { f(b) }
+
+// Verbose implements testscript.T.
+func (b bubble) Verbose() bool { return testing.Verbose() }
--- /dev/null
+++ b/internal/drifttest/verb_test.go
@@ -0,0 +1,299 @@
+package drifttest
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/almonddrift/almonddrift/internal/driftdocument"
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+	"github.com/almonddrift/almonddrift/internal/driftfront"
+	"github.com/almonddrift/almonddrift/pkg/driftapi"
+)
+
+// scenario is the state that the verbs of one script share.
+type scenario struct {
+	fleet   *Fleet
+	outcome driftfront.Outcome
+	took    time.Duration
+	tally   *Tally
+	loading chan *Tally
+	queries int
+}
+
+// command is a verb as testscript calls it.
+type command = func(ts *testscript.TestScript, negated bool, args []string)
+
+// verbs returns the verbs of the scripts.
+func (s *scenario) verbs() map[string]command {
+	return map[string]command{
+		"domain":   s.on(s.domain),
+		"vm":       s.on(s.vm),
+		"upstream": s.on(s.upstream),
+		"platform": s.on(s.platform),
+		"publish":  s.on(s.publish),
+		"cut":      s.on(s.cut),
+		"heal":     s.on(func([]string) string { s.fleet.Heal(); return "" }),
+		"advance":  s.on(s.advance),
+		"query":    s.on(s.query),
+		"load":     s.on(s.load),
+		"expect":   s.on(s.expect),
+	}
+}
+
+// on makes a verb of a function that returns what is wrong, if anything.
+func (s *scenario) on(do func(args []string) string) command {
+	return func(ts *testscript.TestScript, negated bool, args []string) {
+		if negated {
+			ts.Fatalf("a verb cannot be negated")
+		}
+		if wrong := do(append(args, "", "", "")); wrong != "" {
+			ts.Fatalf("%s", wrong)
+		}
+	}
+}
+
+func (s *scenario) domain(args []string) string {
+	switch verb, domain := args[0], args[1]; verb {
+	case "out":
+		s.fleet.DomainOut(domain)
+	case "in":
+		s.fleet.DomainIn(domain)
+	case "cold":
+		s.fleet.DomainCold(domain)
+	case "cut":
+		s.fleet.CutDomains(domain, args[2], true)
+	case "slow":
+		s.eachOf(domain, func(u *driftfake.Upstream) { u.SetSlow(number(args[2])) })
+	default:
+		return "domain: no verb " + verb
+	}
+	return ""
+}
+
+func (s *scenario) eachOf(domain string, do func(u *driftfake.Upstream)) {
+	for i, u := range s.fleet.Upstreams {
+		if s.fleet.Size.Domain(i/s.fleet.Size.Replicas, i%s.fleet.Size.Replicas) == domain {
+			do(u)
+		}
+	}
+}
+
+func (s *scenario) vm(args []string) string {
+	vm := args[1]
+	switch args[0] {
+	case "out":
+		s.fleet.VMOut(vm)
+	case "in":
+		s.fleet.VMIn(vm)
+	case "pause":
+		s.fleet.Pause(vm)
+		time.AfterFunc(span(args[2]), func() { s.fleet.Resume(vm) })
+	case "freeze":
+		s.fleet.Freeze(vm)
+	case "kill":
+		s.fleet.Vanish(vm)
+	case "start":
+		s.fleet.Return(vm)
+	case "leave":
+		s.fleet.Leave(vm)
+	case "silence":
+		s.fleet.Network.Silence(vm, args[2], true)
+	default:
+		return "vm: no verb " + args[0]
+	}
+	return ""
+}
+
+// modes are the faults in replies by their names in scripts.
+func modes() map[string]driftfake.Mode {
+	return map[string]driftfake.Mode{
+		"sound": driftfake.Sound, "mute": driftfake.Silent, "crossed": driftfake.Crossed,
+		"short": driftfake.Short, "drop": driftfake.Drop, "other": driftfake.Other,
+	}
+}
+
+func (s *scenario) upstream(args []string) string {
+	if args[1] == "all" {
+		for _, u := range s.fleet.Upstreams {
+			if wrong := s.upstream([]string{args[0], u.Name, args[2]}); wrong != "" {
+				return wrong
+			}
+		}
+		return ""
+	}
+	u := s.fleet.Upstream(args[1])
+	switch args[0] {
+	case "cold":
+		u.Cool()
+	case "restart":
+		s.fleet.UpstreamRestart(u.Name)
+	case "slow":
+		u.SetSlow(number(args[2]))
+	case "leave":
+		s.fleet.UpstreamLeave(u.Name)
+	case "lost":
+		s.fleet.Dialer.Cut(u.Name, true)
+		u.Restart()
+	case "back":
+		s.fleet.Dialer.Cut(u.Name, false)
+	case "silence":
+		u.SilenceConnections()
+	case "report":
+		u.SetReport(loadOf(args[2]))
+	default:
+		mode, found := modes()[args[0]]
+		if !found {
+			return "upstream: no verb " + args[0]
+		}
+		u.SetMode(mode)
+	}
+	return ""
+}
+
+func (s *scenario) platform(args []string) string {
+	switch args[0] {
+	case "down":
+		s.fleet.PlatformDown(true)
+	case "up":
+		s.fleet.PlatformDown(false)
+	case "stale":
+		s.fleet.PlatformStale(true)
+	case "fresh":
+		s.fleet.PlatformStale(false)
+	case "lag":
+		s.fleet.Platform.SetListLag(span(args[1]))
+	default:
+		return "platform: no verb " + args[0]
+	}
+	return ""
+}
+
+func (s *scenario) publish(args []string) string {
+	switch args[0] {
+	case "classes":
+		if args[1] == "bad" {
+			s.fleet.Platform.PutRaw(driftdocument.KeyClasses, []byte(`{"classes":[{"name":"fire"}]}`))
+			return ""
+		}
+		s.fleet.Platform.Put(driftdocument.KeyClasses, s.fleet.Size.ClassesDocument())
+	case "version":
+		s.fleet.RollOut(digits(args[2]), versions(args[1])...)
+	default:
+		return "publish: no document " + args[0]
+	}
+	return ""
+}
+
+func (s *scenario) cut(args []string) string {
+	if args[2] == "oneway" {
+		s.fleet.Network.Cut(args[0], args[1], true)
+		return ""
+	}
+	s.fleet.Cut(args[0], args[1], true)
+	return ""
+}
+
+func (s *scenario) advance(args []string) string {
+	time.Sleep(span(args[0]))
+	return ""
+}
+
+// query asks one VM, vm-1 unless another is named, and waits.
+func (s *scenario) query(args []string) string {
+	s.queries++
+	vm := "vm-1"
+	if strings.HasPrefix(args[1], "vm-") {
+		vm = args[1]
+	}
+	q := driftapi.Query{
+		Request: fmt.Sprintf("script-%d", s.queries), Class: args[0], Deadline: 500, Text: "church",
+	}
+	if args[0] == "reserve" {
+		q.Depots = []string{"depot-1-1"}
+	}
+	started := time.Now()
+	s.outcome = s.fleet.Query(vm, q)
+	s.took = time.Since(started)
+	if a, ok := s.outcome.(driftfront.Answered); ok {
+		s.fleet.checkAnswer(q, a.Answer)
+	}
+	return ""
+}
+
+// load sends a load such as "load counter 100/s 10s"; with "&" the script
+// goes on meanwhile, until "load wait".
+func (s *scenario) load(args []string) string {
+	if args[0] == "wait" {
+		s.tally = <-s.loading
+		return ""
+	}
+	rate, _ := strings.CutSuffix(args[1], "/s")
+	l := Load{Class: args[0], Rate: number(rate), Time: span(args[2]), Seed: uint64(s.queries)}
+	if l.Class == "reserve" {
+		l.Depots = []string{"depot-1-1"}
+	}
+	if args[3] != "&" {
+		s.tally = s.fleet.Load(l)
+		return ""
+	}
+	s.loading = make(chan *Tally, 1)
+	go func() { s.loading <- s.fleet.Load(l) }()
+	return ""
+}
+
+func number(text string) float64 {
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		panic(err)
+	}
+	return n
+}
+
+func span(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
+
+// digits reads a list of replicas such as "0,1".
+func digits(text string) []int {
+	var list []int
+	for d := range strings.SplitSeq(text, ",") {
+		list = append(list, int(number(d)))
+	}
+	return list
+}
+
+// versions reads a list of index versions such as "2,1".
+func versions(text string) []uint64 {
+	var list []uint64
+	for _, n := range digits(text) {
+		list = append(list, uint64(n))
+	}
+	return list
+}
+
+func answeredBy(o driftfront.Outcome) driftapi.Answer {
+	a, _ := o.(driftfront.Answered)
+	return a.Answer
+}
+
+func refusedBy(o driftfront.Outcome) driftapi.Refusal {
+	r, _ := o.(driftfront.Refused)
+	return r.Refusal
+}
+
+func missing(a driftapi.Answer) []string {
+	var reasons []string
+	for _, m := range a.Missing {
+		reasons = append(reasons, m.Reason)
+	}
+	return slices.Compact(slices.Sorted(slices.Values(reasons)))
+}
