Serve each upstream in a lane: limit, queue, connections, handover

Cause: the owner was a stub without limits for cold upstreams or deadlines. Change: limiter by own service times, earliest deadline first queue, bounded connection pool, remembered ids, handover with service times by class, relay.

--- a/internal/driftnode/node.go
+++ b/internal/driftnode/node.go
@@ -60,7 +60,10 @@
 	n.Control = driftcontrol.New(p.Self, p.Config, p.Lister, p.Transport, p.Events, p.Checker)
 	views := n.Control.Views()
 	handover := driftpeer.NewHandoverClient(views, p.Transport)
-	n.Owner = driftowner.New(views, p.Dialer, handover, n.Control, p.Events, p.Checker)
+	relay := driftpeer.NewRouter(views, nil, p.Transport, n.Control)
+	n.Owner = driftowner.New(
+		views, p.Dialer, handover, n.Control, p.Events, p.Checker, driftowner.WithRelay(relay),
+	)
 	router := driftpeer.NewRouter(views, n.Owner, p.Transport, n.Control)
 	n.Front = driftfront.New(views, router, p.Events, p.Checker)
 	n.Steer = driftsteer.New(views, p.Life)
--- /dev/null
+++ b/internal/driftowner/judge.go
@@ -0,0 +1,52 @@
+package driftowner
+
+import (
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftshard"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+)
+
+// judge tells why this VM may not send the request now.
+func (o *Owner) judge(v *drifttable.View, r driftshard.Request, now time.Time) (refusal driftshard.NotRun) {
+	name, _ := v.Owner(r.Upstream)
+	switch {
+	case v.Age(now) > o.fresh:
+		return driftshard.NotRun{Reason: driftshard.ReasonStale}
+	case v.Fenced:
+		return driftshard.NotRun{Reason: driftshard.ReasonFenced}
+	case name != v.Self:
+		return driftshard.NotRun{Reason: driftshard.ReasonOwner, Owner: name}
+	case v.UpstreamOut(r.Upstream):
+		return driftshard.NotRun{Reason: outReason(v, r.Upstream)}
+	case !now.Before(r.Deadline):
+		return driftshard.NotRun{Reason: driftshard.ReasonLate}
+	}
+	return driftshard.NotRun{}
+}
+
+func outReason(v *drifttable.View, upstream string) driftshard.Reason {
+	u, found := v.Upstreams.Get(upstream)
+	if found && u.Leaving {
+		return driftshard.ReasonLeaving
+	}
+	return driftshard.ReasonOut
+}
+
+// hold is the moment before which a new owner waits for the earlier one.
+func hold(v *drifttable.View, upstream string) time.Time {
+	o, _ := v.Owners.Get(upstream)
+	return o.Hold
+}
+
+// assertMarks asserts that a request which is being sent goes to nothing that
+// is out or leaving.
+func (o *Owner) assertMarks(v *drifttable.View, r driftshard.Request, now time.Time) {
+	u, _ := v.Upstreams.Get(r.Upstream)
+	if u.Leaving {
+		o.checker.NotLeaving(r.Query, u.Name, u.Since, now)
+	}
+	if d, found := v.Domains.Get(u.Domain); found && d.Out {
+		o.checker.NotOut(r.Query, d.Name, d.Since, now)
+	}
+}
--- a/internal/driftowner/lane.go
+++ b/internal/driftowner/lane.go
@@ -1,108 +1,338 @@
 package driftowner
 
 import (
-	"context"
 	"sync"
+	"time"
 
+	"github.com/almonddrift/almonddrift/internal/driftcheck"
+	"github.com/almonddrift/almonddrift/internal/driftevent"
 	"github.com/almonddrift/almonddrift/internal/driftshard"
 	"github.com/almonddrift/almonddrift/internal/drifttable"
-	"github.com/almonddrift/almonddrift/internal/driftupstream"
 )
 
-// lane holds the slots and connections of one upstream.
+// queueSize is how many requests may wait in a lane.
+const queueSize = 128
+
+// lane holds the queue, the limit, the connections and the remembered ids of
+// one upstream. Its methods take the current time and open no sockets.
 type lane struct {
+	name    string
+	events  driftevent.Recorder
+	checker *driftcheck.Checker
+	policy  policy
+
+	mu       sync.Mutex
 	upstream drifttable.Upstream
-	dialer   driftupstream.Dialer
-	slots    chan struct{}
+	limiter  limiter
+	queue    queue
+	pool     pool
+	ids      idTable
+	// flights are the tickets that hold a slot.
+	flights []*ticket
+	// ghosts are when the upstream is surely done with requests whose
+	// connection was closed under them.
+	ghosts []time.Time
+	// foreign is the number of requests that the earlier owner still has in
+	// flight, counted until foreignEnd.
+	foreign    int
+	foreignEnd time.Time
+	// cleared is when the earlier owner said that it has nothing in flight.
+	cleared time.Time
+	pause   pause
+	// renew makes the next attempt open a new connection.
+	renew bool
+	// urgent is the tightest latency target seen lately.
+	urgent urgency
+	// service is the smoothed time of a request, warm or cold.
+	service time.Duration
+	// parted is when the upstream first said that it leaves, and marked is
+	// set once the view has said so too.
+	parted time.Time
+	marked bool
+	// lost is set while another VM owns the upstream, closed for good.
+	lost   bool
+	owner  string
+	told   bool
+	closed bool
+}
 
-	mu   sync.Mutex
-	idle []driftupstream.Conn
+// policy switches parts of the decisions off, so that each can be measured.
+type policy struct {
+	fifo, patient, unreserved, closing bool
 }
 
-func newLane(u drifttable.Upstream, dialer driftupstream.Dialer) *lane {
-	return &lane{upstream: u, dialer: dialer, slots: make(chan struct{}, u.Slots)}
+// pause keeps requests from an upstream that has failed or shed.
+type pause struct {
+	end      time.Time
+	reason   driftshard.Reason
+	failures int
 }
 
-// serve waits for a slot and sends the request on a connection.
-func (l *lane) serve(ctx context.Context, r driftshard.Request) driftshard.Result {
-	select {
-	case l.slots <- struct{}{}:
-	case <-ctx.Done():
-		return driftshard.NotRun{Reason: driftshard.ReasonLate}
-	}
-	defer func() { <-l.slots }()
-	conn, err := l.take(ctx)
-	if err != nil {
-		return driftshard.NotRun{Reason: driftshard.ReasonUnreachable}
+// Pauses after failures: the first, and the longest.
+const (
+	firstPause = 50 * time.Millisecond
+	maxPause   = time.Second
+)
+
+func (p *pause) start(reason driftshard.Reason, asked time.Duration, now time.Time) {
+	wait := min(firstPause<<min(p.failures, 8), maxPause)
+	p.failures++
+	p.reason = reason
+	p.end = now.Add(max(wait, min(asked, maxPause)))
+}
+
+// urgency is the tightest latency target of the requests of late.
+type urgency struct {
+	target time.Duration
+	seen   time.Time
+}
+
+// urgencyLife is how long a tight target keeps a slot reserved.
+const urgencyLife = time.Second
+
+func (u *urgency) note(target time.Duration, now time.Time) {
+	if target <= u.target || now.Sub(u.seen) > urgencyLife {
+		u.target, u.seen = target, now
 	}
-	reply := conn.Do(ctx, r)
-	l.give(conn, reply)
-	return result(r, reply)
 }
 
-func (l *lane) take(ctx context.Context) (driftupstream.Conn, error) {
-	if conn := l.pop(); conn != nil {
-		return conn, nil
+func newLane(
+	u drifttable.Upstream, events driftevent.Recorder, checker *driftcheck.Checker, p policy, now time.Time,
+) *lane {
+	l := &lane{
+		name: u.Name, events: events, checker: checker, policy: p, upstream: u,
+		queue: queue{size: queueSize}, pool: newPool(u.Slots, u.Connections), ids: newIDTable(),
 	}
-	return l.dialer.Dial(ctx, l.upstream)
+	l.limiter = newLimiter(min(u.Slots, l.pool.size), now)
+	return l
 }
 
-func (l *lane) pop() driftupstream.Conn {
+// enter admits a request to the queue and grants it a slot if one is free.
+// A result that is not nil ends the request here.
+func (l *lane) enter(t *ticket, hold, now time.Time) driftshard.Result {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.idle) == 0 {
-		return nil
+	id := t.request.Query
+	if t.request.Once && l.ids.has(id, now) {
+		return driftshard.Unknown{Reason: driftshard.ReasonDuplicate}
+	}
+	if refusal := l.admit(t, hold, now); refusal.Reason != "" {
+		refusal.Load = l.load()
+		return refusal
 	}
-	last := len(l.idle) - 1
-	conn := l.idle[last]
-	l.idle = l.idle[:last]
-	return conn
+	if evicted := l.queue.push(t); evicted != nil {
+		if evicted == t {
+			return driftshard.NotRun{Reason: driftshard.ReasonFull, Load: l.load()}
+		}
+		l.refuse(evicted, driftshard.NotRun{Reason: driftshard.ReasonFull})
+	}
+	if t.request.Once {
+		l.ids.add(id, now)
+	}
+	l.urgent.note(t.key.Sub(t.arrived), now)
+	l.pump(now)
+	return nil
 }
 
-func (l *lane) give(conn driftupstream.Conn, reply driftupstream.Reply) {
-	if _, failed := reply.(driftupstream.Failed); failed {
-		_ = conn.Close()
-		return
+// admit refuses what surely gets no slot in time.
+func (l *lane) admit(t *ticket, hold, now time.Time) (refusal driftshard.NotRun) {
+	if refusal := l.barred(hold, now); refusal.Reason != "" {
+		return refusal
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.idle = append(l.idle, conn)
+	switch {
+	case now.Before(l.pause.end):
+		return driftshard.NotRun{Reason: l.pause.reason, Retry: l.pause.end.Sub(now)}
+	case t.request.Once && l.ids.full():
+		return driftshard.NotRun{Reason: driftshard.ReasonFull}
+	}
+	if len(l.flights) == 0 {
+		l.observe(func() { l.limiter.rest(now) })
+	}
+	if !l.policy.patient && l.late(t, now) {
+		return driftshard.NotRun{Reason: l.lateReason()}
+	}
+	return driftshard.NotRun{}
 }
 
-// result turns an upstream's reply into the result of the request.
-func result(r driftshard.Request, reply driftupstream.Reply) driftshard.Result {
-	switch reply := reply.(type) {
-	case driftupstream.Answered:
-		return answered(r, reply)
-	case driftupstream.Shed:
-		return shed(reply)
-	case driftupstream.Parting:
+// barred tells why the lane may dispatch nothing at all.
+func (l *lane) barred(hold, now time.Time) (refusal driftshard.NotRun) {
+	switch {
+	case l.closed:
 		return driftshard.NotRun{Reason: driftshard.ReasonLeaving}
-	case driftupstream.Failed:
-		if !reply.Sent {
-			return driftshard.NotRun{Reason: reply.Reason}
+	case l.lost:
+		return driftshard.NotRun{Reason: driftshard.ReasonOwner, Owner: l.owner}
+	case !l.parted.IsZero():
+		return driftshard.NotRun{Reason: driftshard.ReasonLeaving}
+	case now.Before(hold) && hold.Sub(l.cleared) > handoverLife:
+		return driftshard.NotRun{Reason: driftshard.ReasonHold, Retry: hold.Sub(now)}
+	}
+	return driftshard.NotRun{}
+}
+
+func (l *lane) lateReason() driftshard.Reason {
+	if l.limiter.cold() {
+		return driftshard.ReasonCold
+	}
+	return driftshard.ReasonLate
+}
+
+// late estimates whether a request misses its deadline behind those that go
+// before it. An idle lane takes every request, so that its estimate cannot
+// stay wrong.
+func (l *lane) late(t *ticket, now time.Time) bool {
+	busy := l.busy(now)
+	if busy == 0 && l.queue.len() == 0 {
+		return false
+	}
+	turns := l.queue.ahead(t.key) + 1 - (l.limiter.limit - busy)
+	wait := l.service * time.Duration(max(turns, 0)) / time.Duration(l.limiter.limit)
+	return now.Add(wait + l.service).After(t.request.Deadline)
+}
+
+// busy is the number of requests that the upstream may be working on.
+func (l *lane) busy(now time.Time) int {
+	kept := l.ghosts[:0]
+	for _, end := range l.ghosts {
+		if now.Before(end) {
+			kept = append(kept, end)
 		}
-		return driftshard.Unknown{Reason: reply.Reason}
 	}
-	return driftshard.Unknown{Reason: driftshard.ReasonMalformed}
+	l.ghosts = kept
+	if !now.Before(l.foreignEnd) {
+		l.foreign = 0
+	}
+	return len(l.flights) + len(l.ghosts) + l.foreign
 }
 
-func answered(r driftshard.Request, a driftupstream.Answered) driftshard.Result {
-	if a.Attempt != r.Attempt {
-		return driftshard.Unknown{Reason: driftshard.ReasonCrossed}
+// pump grants free slots to waiting requests.
+func (l *lane) pump(now time.Time) {
+	l.watch(now)
+	if l.closed || l.lost || !l.parted.IsZero() || now.Before(l.pause.end) {
+		return
 	}
-	if a.Count != len(a.Rows) {
-		return driftshard.Unknown{Reason: driftshard.ReasonShort}
+	for busy := l.busy(now); busy < l.limiter.limit; {
+		t := l.choose(busy, now)
+		if t == nil {
+			return
+		}
+		l.queue.remove(t)
+		l.queue.grants++
+		if l.hopeless(t, busy, now) {
+			l.refuse(t, driftshard.NotRun{Reason: driftshard.ReasonLate})
+			continue
+		}
+		t.state = granted
+		l.flights = append(l.flights, t)
+		t.signal()
+		busy++
+	}
+}
+
+// watch takes requests that are overdue in flight as a sign of a cold
+// upstream, before any reply.
+func (l *lane) watch(now time.Time) {
+	for _, t := range l.flights {
+		if t.state == sent && l.limiter.overdue(t.request.Class, t.sent, now) {
+			l.observe(func() { l.limiter.suspect(now) })
+			return
+		}
+	}
+}
+
+// choose returns the request to grant next, or nil when the last free slot
+// stays reserved.
+func (l *lane) choose(busy int, now time.Time) *ticket {
+	t := l.queue.next()
+	if t == nil || !l.reserved(t, busy, now) {
+		return t
+	}
+	first := l.queue.heap[0]
+	if l.reserved(first, busy, now) {
+		return nil
+	}
+	return first
+}
+
+// Limits of the reservation: a request is relaxed when it has this many times
+// the tight target left; a slot stays reserved only when this many service
+// times do not fit into the target.
+const (
+	relaxedFactor  = 4
+	reserveFactor  = 2
+	minReserveable = 2
+)
+
+// reserved reports whether the last free slot stays free for a request with
+// a tight latency target, which would miss it behind a long request.
+func (l *lane) reserved(t *ticket, busy int, now time.Time) bool {
+	if l.policy.unreserved || l.limiter.limit < minReserveable || l.limiter.limit-busy > 1 {
+		return false
+	}
+	if now.Sub(l.urgent.seen) > urgencyLife || reserveFactor*l.service <= l.urgent.target {
+		return false
 	}
-	return driftshard.Done{
-		Attempt: a.Attempt, Version: a.Version, Depots: a.Depots,
-		Rows: a.Rows, Count: a.Count, Load: a.Load,
+	return t.key.Sub(now) > relaxedFactor*l.urgent.target
+}
+
+// hopeless reports whether a request cannot end in time any more.
+func (l *lane) hopeless(t *ticket, busy int, now time.Time) bool {
+	if !now.Before(t.request.Deadline) {
+		return true
+	}
+	if l.policy.patient || busy == 0 {
+		return false
+	}
+	return now.Add(l.service / 2).After(t.request.Deadline)
+}
+
+// refuse ends a request that has not been sent.
+func (l *lane) refuse(t *ticket, refusal driftshard.NotRun) {
+	t.state = ended
+	refusal.Load = l.load()
+	t.refusal = refusal
+	if t.request.Once {
+		l.ids.forget(t.request.Query)
+	}
+	t.signal()
+}
+
+// refuseAll ends every request that waits.
+func (l *lane) refuseAll(refusal driftshard.NotRun) {
+	for l.queue.len() > 0 {
+		t := l.queue.heap[0]
+		l.queue.remove(t)
+		l.refuse(t, refusal)
+	}
+}
+
+// drop takes a ticket off its slot.
+func (l *lane) drop(t *ticket) {
+	for i, other := range l.flights {
+		if other == t {
+			l.flights = append(l.flights[:i], l.flights[i+1:]...)
+			return
+		}
+	}
+}
+
+// load describes the lane to the front.
+func (l *lane) load() driftshard.Load {
+	return driftshard.Load{
+		Queue: l.queue.len(), Flight: len(l.flights) + len(l.ghosts) + l.foreign, Limit: l.limiter.limit,
+		Cold: l.limiter.cold(), Service: l.service,
 	}
 }
 
-func shed(s driftupstream.Shed) driftshard.Result {
-	if s.Other {
-		return driftshard.NotRun{Reason: driftshard.ReasonVersion}
+// observe runs a change of the limiter and records what came of it.
+func (l *lane) observe(change func()) {
+	cold, limit := l.limiter.cold(), l.limiter.limit
+	change()
+	switch {
+	case !cold && l.limiter.cold():
+		l.events.Record(driftevent.UpstreamCooled, "", l.name, "")
+	case cold && !l.limiter.cold():
+		l.events.Record(driftevent.UpstreamWarmed, "", l.name, "")
+	case limit != l.limiter.limit:
+		l.events.Record(driftevent.UpstreamLimit, "", l.name, "")
 	}
-	return driftshard.NotRun{Reason: driftshard.ReasonShed, Retry: s.Retry}
 }
--- a/internal/driftowner/owner.go
+++ b/internal/driftowner/owner.go
@@ -2,12 +2,18 @@
 // it holds the upstream's connections, queue, limit and warm-up state.
 //
 // One Owner serves all upstreams that its VM owns, each in a lane of its
-// own. Every dispatch checks, on the monotonic clock, that the view is fresh,
-// that this VM still owns the upstream and that the deadline is not past.
+// own. A lane orders its queue by deadline, refuses early what cannot be in
+// time, and never has more requests at the upstream than the limit, which
+// is one while the upstream is cold. Right before a request is sent, the
+// Owner checks on the monotonic clock that its view is fresh, that this VM
+// still owns the upstream, that nothing is marked out or leaving and that the
+// deadline is not past. Run passes the state of a lost upstream on to its new
+// owner.
 //
 // # Usage
 //
-//	owner := driftowner.New(views, dialer, handover, control, events, checker)
+//	owner := driftowner.New(views, dialer, handover, control, events, checker,
+//		driftowner.WithRelay(router))
 //	go owner.Run(ctx)
 //	result := owner.Handle(ctx, request)
 package driftowner
@@ -33,10 +39,14 @@
 	observer driftshard.Observer
 	events   driftevent.Recorder
 	checker  *driftcheck.Checker
+	relay    driftshard.Sender
 	fresh    time.Duration
+	policy   policy
 
-	mu    sync.Mutex
-	lanes map[string]*lane
+	mu      sync.Mutex
+	lanes   map[string]*lane
+	arrived map[string]arrival
+	closed  bool
 }
 
 // Option changes an Owner that New makes.
@@ -47,6 +57,13 @@
 	return func(o *Owner) { o.fresh = age }
 }
 
+// WithRelay passes a request for an upstream that another VM owns on to that
+// VM, one hop at most. Without it such a request is refused with the name of
+// the owner.
+func WithRelay(sender driftshard.Sender) Option {
+	return func(o *Owner) { o.relay = sender }
+}
+
 // defaultFresh is the freshness limit when WithFresh is not given.
 const defaultFresh = time.Second
 
@@ -62,7 +79,7 @@
 ) *Owner {
 	o := &Owner{
 		views: views, dialer: dialer, handover: handover, observer: observer, events: events, checker: checker,
-		fresh: defaultFresh, lanes: make(map[string]*lane),
+		fresh: defaultFresh, lanes: make(map[string]*lane), arrived: make(map[string]arrival),
 	}
 	for _, opt := range opts {
 		opt(o)
@@ -73,8 +90,12 @@
 // tickInterval is the time between two runs of the systems over the lanes.
 const tickInterval = 50 * time.Millisecond
 
-// Run runs the systems over the lanes until ctx ends.
+// Run runs the systems over the lanes until ctx ends, then closes every
+// connection. Requests that are still in flight end as unknown.
 func (o *Owner) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer o.shut()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -82,53 +103,144 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			o.tick(ctx, &group, time.Now())
 		}
 	}
 }
 
-// ReceiveHandover implements driftshard.HandoverReceiver.
-func (o *Owner) ReceiveHandover(driftshard.Handover) {}
-
 // Handle implements driftshard.Handler.
 func (o *Owner) Handle(ctx context.Context, r driftshard.Request) driftshard.Result {
+	now := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	l, refusal := o.admit(r)
-	if refusal.Reason != "" {
+	v := o.views.Load()
+	if refusal := o.judge(v, r, now); refusal.Reason != "" {
+		return o.turnAway(ctx, r, refusal)
+	}
+	l := o.lane(v, r.Upstream, now)
+	if l == nil {
+		return o.turnAway(ctx, r, driftshard.NotRun{Reason: driftshard.ReasonLeaving})
+	}
+	t := &ticket{
+		request: r, key: key(v, r, now, o.policy), arrived: now, ready: make(chan struct{}, 1),
+	}
+	result := l.enter(t, hold(v, r.Upstream), now)
+	if result == nil {
+		result = o.serve(ctx, l, t)
+	}
+	if n, refused := result.(driftshard.NotRun); refused {
+		o.events.Record(driftevent.DispatchRefused, r.Query, r.Upstream, string(n.Reason))
+	}
+	return result
+}
+
+// key returns what orders the queue.
+func key(v *drifttable.View, r driftshard.Request, now time.Time, p policy) time.Time {
+	if p.fifo {
+		return now
+	}
+	c, found := v.Classes.Get(r.Class)
+	if !found || c.Fast <= 0 {
+		return r.Deadline
+	}
+	target := now.Add(c.Fast)
+	if target.Before(r.Deadline) {
+		return target
+	}
+	return r.Deadline
+}
+
+// turnAway refuses a request, or passes it on to the owner.
+func (o *Owner) turnAway(ctx context.Context, r driftshard.Request, refusal driftshard.NotRun) driftshard.Result {
+	other := refusal.Reason == driftshard.ReasonOwner && refusal.Owner != ""
+	if !other || r.Relayed || o.relay == nil {
+		o.events.Record(driftevent.DispatchRefused, r.Query, r.Upstream, string(refusal.Reason))
 		return refusal
 	}
-	return l.serve(ctx, r)
+	o.events.Record(driftevent.RequestRelayed, r.Query, r.Upstream, refusal.Owner)
+	r.Relayed = true
+	return o.relay.Send(ctx, refusal.Owner, r)
 }
 
-// admit returns the lane of the request, or a refusal with a reason.
-func (o *Owner) admit(r driftshard.Request) (l *lane, refusal driftshard.NotRun) {
-	now := time.Now()
-	v := o.views.Load()
-	name, _ := v.Owner(r.Upstream)
-	switch {
-	case v.Age(now) > o.fresh:
-		return nil, driftshard.NotRun{Reason: driftshard.ReasonStale}
-	case v.Fenced:
-		return nil, driftshard.NotRun{Reason: driftshard.ReasonFenced}
-	case name != v.Self:
-		return nil, driftshard.NotRun{Reason: driftshard.ReasonOwner, Owner: name}
-	case v.UpstreamOut(r.Upstream):
-		return nil, driftshard.NotRun{Reason: driftshard.ReasonOut}
-	case !now.Before(r.Deadline):
-		return nil, driftshard.NotRun{Reason: driftshard.ReasonLate}
-	}
-	u, _ := v.Upstreams.Get(r.Upstream)
-	return o.lane(u), driftshard.NotRun{}
+// serve waits for a slot and a connection and sends the request.
+func (o *Owner) serve(ctx context.Context, l *lane, t *ticket) driftshard.Result {
+	for {
+		if result := l.await(ctx, t); result != nil {
+			return result
+		}
+		again := true
+		for again {
+			c, result := l.connect(ctx, o.dialer, t)
+			if result != nil {
+				return result
+			}
+			now := time.Now()
+			v := o.views.Load()
+			refusal := o.judge(v, t.request, now)
+			if out := l.begin(t, c, refusal, hold(v, t.request.Upstream), now); out.result != nil {
+				return out.result
+			} else if out.again {
+				break
+			}
+			o.assertMarks(v, t.request, now)
+			out := o.exchange(ctx, l, t, c)
+			if !out.again {
+				return out.result
+			}
+		}
+	}
 }
 
-// lane returns the lane of an upstream, made at its first use.
-func (o *Owner) lane(u drifttable.Upstream) *lane {
+// exchange sends the request and waits for its reply, or until ctx ends. The
+// reply to a request that nobody waits for any more still frees its slot.
+func (o *Owner) exchange(ctx context.Context, l *lane, t *ticket, c *link) outcome {
+	replies := make(chan outcome, 1)
+	sendCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), l.patience(t, t.sent))
+	go func() {
+		defer cancel()
+		reply := c.Do(sendCtx, t.request)
+		out := l.settle(t, c, reply, time.Now())
+		if _, parting := reply.(driftupstream.Parting); parting {
+			o.observer.Observe(driftshard.UpstreamParting{Upstream: t.request.Upstream})
+		}
+		replies <- out
+	}()
+	select {
+	case out := <-replies:
+		return out
+	case <-ctx.Done():
+	}
+	result, settled := l.detach(ctx, t, c)
+	if settled {
+		return <-replies
+	}
+	return outcome{result: result}
+}
+
+// lane returns the lane of an upstream, made at its first use, or nil once
+// the Owner is shut.
+func (o *Owner) lane(v *drifttable.View, upstream string, now time.Time) *lane {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	l, found := o.lanes[u.Name]
+	if o.closed {
+		return nil
+	}
+	l, found := o.lanes[upstream]
 	if !found {
-		l = newLane(u, o.dialer)
-		o.lanes[u.Name] = l
+		u, _ := v.Upstreams.Get(upstream)
+		l = newLane(u, o.events, o.checker, o.policy, now)
+		o.lanes[upstream] = l
+		o.welcome(l, now)
 	}
 	return l
 }
+
+// shut closes every lane.
+func (o *Owner) shut() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closed = true
+	for _, l := range o.lanes {
+		l.shut()
+	}
+}
--- /dev/null
+++ b/internal/driftowner/pool.go
@@ -0,0 +1,110 @@
+package driftowner
+
+import (
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftupstream"
+)
+
+// link is one connection of a pool.
+type link struct {
+	driftupstream.Conn
+	// used is when the last whole reply arrived, zero while fresh.
+	used time.Time
+}
+
+func (c *link) fresh() bool {
+	return c.used.IsZero()
+}
+
+// pool counts and keeps the connections to one upstream.
+type pool struct {
+	// size is the most connections that may be open at a time.
+	size   int
+	open   int
+	opened int
+	idle   []*link
+	links  map[*link]bool
+}
+
+func newPool(slots, connections int) pool {
+	p := pool{links: make(map[*link]bool)}
+	p.resize(slots, connections)
+	return p
+}
+
+// resize allows one standby connection beside the slots and at most half of
+// the published connections, so that two owners stay within them while one
+// takes over from the other.
+func (p *pool) resize(slots, connections int) {
+	p.size = max(1, min(slots+1, connections/2))
+}
+
+// take returns the idle connection used last, or nil.
+func (p *pool) take() *link {
+	if len(p.idle) == 0 {
+		return nil
+	}
+	last := len(p.idle) - 1
+	c := p.idle[last]
+	p.idle = p.idle[:last]
+	return c
+}
+
+// reserve counts a connection that is about to be opened.
+func (p *pool) reserve() bool {
+	if p.open >= p.size {
+		return false
+	}
+	p.open++
+	return true
+}
+
+// release takes back a reservation whose dial has failed.
+func (p *pool) release() {
+	p.open--
+}
+
+// add makes a reservation a connection.
+func (p *pool) add(c driftupstream.Conn) *link {
+	k := &link{Conn: c}
+	p.links[k] = true
+	p.opened++
+	return k
+}
+
+func (p *pool) put(c *link) {
+	p.idle = append(p.idle, c)
+}
+
+func (p *pool) close(c *link) {
+	if !p.links[c] {
+		return
+	}
+	delete(p.links, c)
+	p.open--
+	_ = c.Close()
+}
+
+// drop closes the idle connections that pass the filter.
+func (p *pool) drop(filter func(c *link) bool) (closed int) {
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if filter(c) {
+			p.close(c)
+			closed++
+			continue
+		}
+		kept = append(kept, c)
+	}
+	p.idle = kept
+	return closed
+}
+
+// shut closes every connection, also those in use.
+func (p *pool) shut() {
+	p.idle = nil
+	for c := range p.links {
+		p.close(c)
+	}
+}
--- a/internal/driftpeer/handover.go
+++ b/internal/driftpeer/handover.go
@@ -16,7 +16,7 @@
 	s.receiver.ReceiveHandover(driftshard.Handover{
 		Upstream: w.GetUpstream(), From: w.GetFrom(), Flight: int(w.GetFlight()),
 		Limit: int(w.GetLimit()), Cold: w.GetCold(), Boot: w.GetBoot(),
-		Service: time.Duration(w.GetService()) * time.Microsecond, IDs: w.GetIds(),
+		Norms: normsFromWire(w.GetNorms()), IDs: w.GetIds(),
 	})
 	return &pb.HandoverReply{}, nil
 }
@@ -41,7 +41,29 @@
 	}
 	_, err = c.transport.Peer(target.Peers).Handover(ctx, &pb.HandoverRequest{
 		Upstream: h.Upstream, From: h.From, Flight: int64(h.Flight), Limit: int64(h.Limit),
-		Cold: h.Cold, Boot: h.Boot, Service: h.Service.Microseconds(), Ids: h.IDs,
+		Cold: h.Cold, Boot: h.Boot, Norms: normsToWire(h.Norms), Ids: h.IDs,
 	})
 	return err
 }
+
+func normsToWire(norms []driftshard.Norm) []*pb.Norm {
+	wire := make([]*pb.Norm, 0, len(norms))
+	for _, n := range norms {
+		wire = append(wire, &pb.Norm{
+			Class: n.Class, Base: n.Base.Microseconds(), Spread: n.Spread.Microseconds(),
+		})
+	}
+	return wire
+}
+
+func normsFromWire(wire []*pb.Norm) []driftshard.Norm {
+	norms := make([]driftshard.Norm, 0, len(wire))
+	for _, w := range wire {
+		norms = append(norms, driftshard.Norm{
+			Class:  w.GetClass(),
+			Base:   time.Duration(w.GetBase()) * time.Microsecond,
+			Spread: time.Duration(w.GetSpread()) * time.Microsecond,
+		})
+	}
+	return norms
+}
--- a/internal/driftshard/handover.go
+++ b/internal/driftshard/handover.go
@@ -16,12 +16,20 @@
 	Cold     bool
 	// Boot is the upstream's process incarnation, 0 when unknown.
 	Boot uint64
-	// Service is the smoothed time of one request while warm.
-	Service time.Duration
+	// Norms are the service times of the upstream while warm, by class.
+	Norms []Norm
 	// IDs are the remembered ids of requests that are not idempotent.
 	IDs []string
 }
 
+// Norm is the service time of one class of work at one upstream while it is
+// warm: the mean and its mean deviation.
+type Norm struct {
+	Class  string
+	Base   time.Duration
+	Spread time.Duration
+}
+
 // HandoverSender passes a Handover to another VM.
 type HandoverSender interface {
 	SendHandover(ctx context.Context, vm string, h Handover) error
--- a/internal/driftupstream/http.go
+++ b/internal/driftupstream/http.go
@@ -83,6 +83,9 @@
 
 // Do implements Conn.
 func (c *httpConn) Do(ctx context.Context, r driftshard.Request) Reply {
+	if !time.Now().Before(r.Deadline) {
+		return Failed{Reason: driftshard.ReasonLate, Err: context.DeadlineExceeded}
+	}
 	body, err := json.Marshal(search(r))
 	if err != nil {
 		return Failed{Reason: driftshard.ReasonMalformed, Err: err}
