--- a/internal/driftowner/lane.go
+++ b/internal/driftowner/lane.go
@@ -52,7 +52,6 @@
 	// lost is set while another VM owns the upstream, closed for good.
 	lost   bool
 	owner  string
-	told   bool
 	closed bool
 }
 
--- a/internal/driftowner/pool.go
+++ b/internal/driftowner/pool.go
@@ -87,18 +87,16 @@
 }
 
 // drop closes the idle connections that pass the filter.
-func (p *pool) drop(filter func(c *link) bool) (closed int) {
+func (p *pool) drop(filter func(c *link) bool) {
 	kept := p.idle[:0]
 	for _, c := range p.idle {
 		if filter(c) {
 			p.close(c)
-			closed++
 			continue
 		}
 		kept = append(kept, c)
 	}
 	p.idle = kept
-	return closed
 }
 
 // shut closes every connection, also those in use.
