Search shards with one pinned version, hedges, budgets and a home replica for requests that may not be repeated

Cause: the front was a stub: it tried replicas in turn, merged what came and had no bounds. Change: a search state machine for each query, replica choice on learned load, hedges and retries in budgets, restart on another version, exact coverage, admission by class, home replicas and a memory of request ids.

--- /dev/null
+++ b/internal/driftfront/attempt.go
@@ -0,0 +1,143 @@
+package driftfront
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftshard"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+)
+
+// attempt is one shard request sent to one VM.
+type attempt struct {
+	id         string
+	task       int
+	generation int
+	upstream   string
+	vm         string
+	version    uint64
+	hedge      bool
+	started    time.Time
+	cancel     context.CancelFunc
+}
+
+// ended is an attempt with its result.
+type ended struct {
+	attempt *attempt
+	result  driftshard.Result
+	now     time.Time
+}
+
+// names makes the ids of attempts. An id holds the VM's name, its
+// incarnation and a counter, so that no two attempts of the fleet share one.
+type names struct {
+	prefix  atomic.Pointer[namePrefix]
+	counter atomic.Uint64
+}
+
+// namePrefix is the part of an id that an incarnation of a VM shares.
+type namePrefix struct {
+	boot uint64
+	text string
+}
+
+// base of the numbers in the ids of attempts.
+const nameBase = 36
+
+func (n *names) next(v *drifttable.View) string {
+	self, _ := v.VMs.Get(v.Self)
+	p := n.prefix.Load()
+	if p == nil || p.boot != self.Boot {
+		p = &namePrefix{boot: self.Boot, text: v.Self + "/" + strconv.FormatUint(self.Boot, nameBase) + "/"}
+		n.prefix.Store(p)
+	}
+	return p.text + strconv.FormatUint(n.counter.Add(1), nameBase)
+}
+
+// request returns the shard request of an attempt.
+func (a *attempt) request(c call, t part) driftshard.Request {
+	return driftshard.Request{
+		Query: c.query.Request, Attempt: a.id, Class: c.class.Name, Service: c.class.Service,
+		Shard: t.shard.Name, Upstream: a.upstream, Version: a.version, Depots: t.depots,
+		Text: c.query.Text, Once: c.class.Once, Deadline: c.deadline,
+	}
+}
+
+// send sends the request of an attempt, waits for its result and learns from
+// it.
+func (f *Front) send(ctx context.Context, a *attempt, r driftshard.Request) ended {
+	load := f.loads.row(a.upstream)
+	load.started()
+	code := driftevent.AttemptStarted
+	if a.hedge {
+		code = driftevent.AttemptHedged
+	}
+	subject := a.id + " " + a.upstream
+	f.events.Record(code, r.Query, a.vm, subject)
+	result := f.sender.Send(ctx, a.vm, r)
+	now := time.Now()
+	f.learn(load, a, r.Class, result, now)
+	f.events.Record(driftevent.AttemptEnded, r.Query, a.vm, subject+" "+resultText(result))
+	return ended{attempt: a, result: result, now: now}
+}
+
+// learn notes what a result tells about the upstream, the VM and the class.
+func (f *Front) learn(load *loadRow, a *attempt, class string, result driftshard.Result, now time.Time) {
+	took := now.Sub(a.started)
+	switch r := result.(type) {
+	case driftshard.Done:
+		load.answered(r.Load, took, now)
+		f.loads.typical.add(took)
+		f.latencies.row(class).add(took, now)
+		f.learnVersion(a, r.Version, now)
+	case driftshard.NotRun:
+		f.learnRefusal(load, a, r, now)
+	case driftshard.Unknown:
+		load.ended(took, now)
+		if !a.hedge {
+			f.latencies.row(class).exceeded(took, now)
+		}
+		if r.Reason == driftshard.ReasonSilent {
+			f.loads.avoidVM(a.vm, now)
+		}
+	}
+}
+
+func (f *Front) learnVersion(a *attempt, version uint64, now time.Time) {
+	if version == a.version {
+		f.refusals.served(a.upstream, version)
+		return
+	}
+	f.refusals.refused(a.upstream, a.version, now)
+}
+
+func (f *Front) learnRefusal(load *loadRow, a *attempt, r driftshard.NotRun, now time.Time) {
+	switch r.Reason {
+	case driftshard.ReasonVersion:
+		f.refusals.refused(a.upstream, a.version, now)
+		load.ended(0, now)
+	case driftshard.ReasonOwner:
+		load.ended(0, now)
+	case driftshard.ReasonUnreachable:
+		f.loads.avoidVM(a.vm, now)
+		load.refused(r.Load, r.Retry, now)
+	default:
+		load.refused(r.Load, r.Retry, now)
+	}
+}
+
+// resultText names a result for events and explanations.
+func resultText(result driftshard.Result) string {
+	switch r := result.(type) {
+	case driftshard.Done:
+		return "done"
+	case driftshard.NotRun:
+		return "notrun " + string(r.Reason)
+	case driftshard.Unknown:
+		return "unknown " + string(r.Reason)
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/driftfront/epoch.go
@@ -0,0 +1,140 @@
+package driftfront
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftdocument"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+)
+
+// epochTable remembers the published layouts and marks of each service that
+// may still be in force at some VM. It is safe for concurrent use.
+//
+// A request that is not idempotent has one home replica, which every VM must
+// choose alike. While VMs may disagree on the layout or the marks, only a
+// request whose home is the same in all of them may run.
+type epochTable struct {
+	settle time.Duration
+
+	mu   sync.Mutex
+	rows map[string][]epoch
+}
+
+// epoch is what was published for a service from one moment on.
+type epoch struct {
+	since     time.Time
+	signature signature
+	versions  []drifttable.Version
+	out       map[string]bool
+}
+
+// signature identifies what was published.
+type signature struct {
+	versions, upstreams, domains, marks, newest uint64
+}
+
+func newEpochTable(settle time.Duration) *epochTable {
+	return &epochTable{settle: settle, rows: make(map[string][]epoch)}
+}
+
+// observe notes what the view publishes for each service.
+func (t *epochTable) observe(v *drifttable.View, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for s := range v.Services.All() {
+		t.observeService(v, s, now)
+	}
+}
+
+func (t *epochTable) observeService(v *drifttable.View, s drifttable.Service, now time.Time) {
+	rows := t.rows[s.Name]
+	next := sign(v, s)
+	if len(rows) == 0 || rows[len(rows)-1].signature != next {
+		rows = append(rows, epoch{
+			since: now, signature: next, versions: s.Versions, out: outOf(v, s),
+		})
+	}
+	for len(rows) > 1 && now.Sub(rows[1].since) >= t.settle {
+		rows = rows[1:]
+	}
+	t.rows[s.Name] = slices.Clip(rows)
+}
+
+func sign(v *drifttable.View, s drifttable.Service) signature {
+	number := func(key string) uint64 {
+		r, _ := v.Revisions.Get(key)
+		return r.Number
+	}
+	g := signature{
+		versions:  number(driftdocument.KeyVersionsPrefix + s.Name),
+		upstreams: number(driftdocument.KeyUpstreamsPrefix + s.Name),
+		domains:   number(driftdocument.KeyDomains),
+		marks:     number(driftdocument.KeyMarks),
+	}
+	if len(s.Versions) > 0 {
+		g.newest = s.Versions[0].Number
+	}
+	return g
+}
+
+// outOf returns the upstreams of the service that may receive no new work.
+func outOf(v *drifttable.View, s drifttable.Service) map[string]bool {
+	out := make(map[string]bool)
+	for _, version := range s.Versions {
+		for shard := range version.Shards.All() {
+			for _, u := range shard.Upstreams {
+				if v.UpstreamOut(u) {
+					out[u] = true
+				}
+			}
+		}
+	}
+	return out
+}
+
+// home returns the one replica at which a request for the depots may run.
+// It is not settled while some VM may choose another. No replica is in
+// service when the home is "".
+func (t *epochTable) home(
+	v *drifttable.View, s drifttable.Service, depots []string, request string, now time.Time,
+) (home string, settled bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observeService(v, s, now)
+	rows := t.rows[s.Name]
+	home = rows[len(rows)-1].home(depots, request)
+	if now.Sub(rows[0].since) < t.settle {
+		return home, false
+	}
+	for _, e := range rows {
+		if e.home(depots, request) != home {
+			return home, false
+		}
+	}
+	return home, true
+}
+
+// home returns the first replica in rendezvous order among those that serve
+// the depots in any published version.
+func (e epoch) home(depots []string, request string) string {
+	var upstreams []string
+	for _, version := range e.versions {
+		for shard := range version.Shards.All() {
+			if !holdsAny(shard, depots) {
+				continue
+			}
+			for _, u := range shard.Upstreams {
+				if !e.out[u] {
+					upstreams = append(upstreams, u)
+				}
+			}
+		}
+	}
+	return drifttable.First(request, upstreams)
+}
+
+func holdsAny(s drifttable.Shard, depots []string) bool {
+	return slices.ContainsFunc(depots, func(d string) bool { return slices.Contains(s.Depots, d) })
+}
--- /dev/null
+++ b/internal/driftfront/explain.go
@@ -0,0 +1,104 @@
+package driftfront
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/pkg/driftapi"
+)
+
+// Counts are the totals of a Front since it was made.
+type Counts struct {
+	// Queries were asked; Refused got no answer.
+	Queries, Refused uint64
+	// First are the first attempts, Hedges the attempts beside a late one.
+	First, Hedges uint64
+	// Dropped are the replies that were not merged, Restarts the queries
+	// that started again on another version.
+	Dropped, Restarts uint64
+}
+
+// counters are the counts while they change.
+type counters struct {
+	queries, refused, first, hedges, dropped, restarts atomic.Uint64
+}
+
+// Counts returns the totals of the Front.
+func (f *Front) Counts() Counts {
+	c := &f.counters
+	return Counts{
+		Queries: c.queries.Load(), Refused: c.refused.Load(), First: c.first.Load(),
+		Hedges: c.hedges.Load(), Dropped: c.dropped.Load(), Restarts: c.restarts.Load(),
+	}
+}
+
+// record records how a query ended.
+func (f *Front) record(q driftapi.Query, o Outcome) {
+	switch o := o.(type) {
+	case Answered:
+		f.events.Record(driftevent.QueryAnswered, q.Request, q.Class, answerText(o.Answer))
+	case Refused:
+		f.counters.refused.Add(1)
+		f.events.Record(driftevent.QueryRefused, q.Request, q.Class,
+			o.Refusal.Reason+" ran "+string(o.Refusal.Ran))
+	}
+}
+
+func answerText(a driftapi.Answer) string {
+	return "version " + strconv.FormatUint(a.Version, 10) +
+		" searched " + strconv.Itoa(len(a.Searched)) + " missing " + strconv.Itoa(len(a.Missing))
+}
+
+func versionsText(from, to uint64) string {
+	return fmt.Sprintf("version %d to %d", from, to)
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
+
+// explanation collects the attempts of a query whose caller asks for them.
+type explanation struct {
+	wanted   bool
+	started  time.Time
+	attempts []driftapi.Attempt
+}
+
+// resultLive is the result of an attempt that was given up.
+const resultLive = "given up"
+
+func newExplanation(c call) explanation {
+	return explanation{wanted: c.query.Explain, started: c.started}
+}
+
+func (x *explanation) start(a *attempt, shard string) {
+	if !x.wanted {
+		return
+	}
+	x.attempts = append(x.attempts, driftapi.Attempt{
+		ID: a.id, Shard: shard, Owner: a.vm, Upstream: a.upstream, Version: a.version,
+		Hedge: a.hedge, Result: resultLive, Start: milliseconds(a.started.Sub(x.started)),
+	})
+}
+
+func (x *explanation) end(e ended) {
+	x.close(e.attempt, resultText(e.result), e.now)
+}
+
+// give closes an attempt that the query no longer waits for.
+func (x *explanation) give(a *attempt) {
+	x.close(a, resultLive, time.Now())
+}
+
+func (x *explanation) close(a *attempt, result string, now time.Time) {
+	i := slices.IndexFunc(x.attempts, func(l driftapi.Attempt) bool { return l.ID == a.id })
+	if i < 0 {
+		return
+	}
+	x.attempts[i].Result = result
+	x.attempts[i].Time = milliseconds(now.Sub(a.started))
+}
--- a/internal/driftfront/front.go
+++ b/internal/driftfront/front.go
@@ -2,9 +2,21 @@
 // scatters a request to each shard, gathers the replies and states exactly
 // which depots were searched.
 //
+// A query that is idempotent runs as a search: one goroutine keeps the state
+// of its shards, starts attempts, hedges stragglers and merges replies until
+// the answer is complete, or good enough at the class's latency target, or
+// the deadline is near. If too few shards serve the pinned version, the
+// whole search starts again on another one. A query that is not idempotent
+// goes to one home replica and is tried again only after NotRun.
+//
+// What a Front learns is soft: the load and latency of upstreams, the
+// versions that they refuse, the latency of each class. It is lost with the
+// process and learned again from replies.
+//
 // # Usage
 //
 //	front := driftfront.New(views, sender, events, checker)
+//	go front.Run(ctx)
 //	switch o := front.Query(ctx, query).(type) {
 //	case driftfront.Answered:
 //		send(o.Answer)
@@ -15,7 +27,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/almonddrift/almonddrift/internal/driftcheck"
@@ -27,24 +38,26 @@
 
 // Front answers queries at one VM. It is safe for concurrent use.
 type Front struct {
-	views   *drifttable.Holder
-	sender  driftshard.Sender
-	events  driftevent.Recorder
-	checker *driftcheck.Checker
-	fresh   time.Duration
+	settings settings
+	views    *drifttable.Holder
+	sender   driftshard.Sender
+	events   driftevent.Recorder
+	checker  *driftcheck.Checker
+
+	names     names
+	loads     *loadTable
+	latencies *latencyTable
+	refusals  *refusalTable
+	admission *admission
+	memory    *memory
+	epochs    *epochTable
+	dice      *dice
+	hedges    *budget
+	retries   *budget
+	redirects *budget
+	counters  counters
 }
 
-// Option changes a Front that New makes.
-type Option func(*Front)
-
-// WithFresh sets the age above which a view is too old to act on.
-func WithFresh(age time.Duration) Option {
-	return func(f *Front) { f.fresh = age }
-}
-
-// defaultFresh is the freshness limit when WithFresh is not given.
-const defaultFresh = time.Second
-
 // New returns a Front that reads views and sends shard requests.
 func New(
 	views *drifttable.Holder,
@@ -53,11 +66,42 @@
 	checker *driftcheck.Checker,
 	opts ...Option,
 ) *Front {
-	f := &Front{views: views, sender: sender, events: events, checker: checker, fresh: defaultFresh}
+	s := defaultSettings()
 	for _, opt := range opts {
-		opt(f)
+		opt(&s)
+	}
+	return &Front{
+		settings: s, views: views, sender: sender, events: events, checker: checker,
+		loads: newLoadTable(), latencies: newLatencyTable(), refusals: newRefusalTable(),
+		admission: newAdmission(s), memory: newMemory(), epochs: newEpochTable(s.settle),
+		dice: newDice(s.seed), hedges: newBudget(s.hedgeShare), retries: newBudget(s.retryShare),
+		redirects: newBudget(redirectShare),
 	}
-	return f
+}
+
+// tickInterval is the time between two runs of the systems over the tables.
+const tickInterval = 250 * time.Millisecond
+
+// Run keeps the tables of the Front until ctx ends.
+func (f *Front) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			f.tick(now)
+		}
+	}
+}
+
+func (f *Front) tick(now time.Time) {
+	v := f.views.Load()
+	f.epochs.observe(v, now)
+	f.memory.sweep(now)
+	f.refusals.sweep(now)
+	f.loads.sweep(v)
 }
 
 // Outcome is Answered or Refused.
@@ -80,156 +124,90 @@
 
 // Query answers one query before its deadline.
 func (f *Front) Query(ctx context.Context, q driftapi.Query) Outcome {
-	started := time.Now()
-	deadline := started.Add(time.Duration(q.Deadline) * time.Millisecond)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	v := f.views.Load()
-	plan, reason := f.plan(v, q, deadline)
-	if reason != "" {
-		return refuse(q, reason)
-	}
-	if plan.class.Once {
-		return f.runOnce(ctx, v, plan, started)
-	}
-	return f.runAll(ctx, v, plan, started)
+	now := time.Now()
+	f.counters.queries.Add(1)
+	f.events.Record(driftevent.QueryStarted, q.Request, q.Class, "")
+	wait := time.Duration(q.Deadline) * time.Millisecond
+	o := f.query(ctx, call{query: q, started: now, deadline: now.Add(wait - margin(wait))})
+	f.record(q, o)
+	return o
+}
+
+// Bounds of the time that is kept for the way of a reply.
+const (
+	marginShare = 10
+	marginMost  = 10 * time.Millisecond
+)
+
+// margin returns how much earlier than the end of a wait a reply must set
+// out to be in time.
+func margin(wait time.Duration) time.Duration {
+	return min(wait/marginShare, marginMost)
 }
 
-// plan is what a query asks for, fixed before the first attempt.
-type plan struct {
+// call is a caller's query with its times. The deadline is when the answer
+// must set out.
+type call struct {
 	query    driftapi.Query
 	class    drifttable.Class
-	version  drifttable.Version
-	parts    []part
+	started  time.Time
 	deadline time.Time
 }
 
-// part is the share of a query that one shard answers.
-type part struct {
-	shard  drifttable.Shard
-	depots []string
-}
-
-func (f *Front) plan(v *drifttable.View, q driftapi.Query, deadline time.Time) (p plan, reason driftshard.Reason) {
-	if v.Age(time.Now()) > f.fresh {
-		return plan{}, driftshard.ReasonStale
+func (f *Front) query(ctx context.Context, c call) Outcome {
+	v := f.views.Load()
+	class, reason := f.open(v, c)
+	if reason != "" {
+		return refuse(c.query, reason)
 	}
-	if v.VMOut(v.Self) {
-		return plan{}, driftshard.ReasonOut
+	c.class = class
+	ticket, retry, admitted := f.admission.enter(c, v.Classes, c.started)
+	if !admitted {
+		refused := refuse(c.query, driftshard.ReasonFull)
+		refused.Refusal.Retry = max(1, retry.Milliseconds())
+		return refused
 	}
-	class, found := v.Classes.Get(q.Class)
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	if class.Once {
+		o, busy := f.runOnce(ctx, c)
+		f.admission.leave(ticket, busy, time.Now())
+		return o
+	}
+	s := newSearch(f, c)
+	o := s.run(ctx)
+	f.admission.leave(ticket, s.busy(), time.Now())
+	return o
+}
+
+// open returns the class of a query, or the reason why this VM may not
+// serve it.
+func (f *Front) open(v *drifttable.View, c call) (class drifttable.Class, reason driftshard.Reason) {
+	switch {
+	case v.Age(c.started) > f.settings.fresh:
+		return class, driftshard.ReasonStale
+	case selfLeaves(v):
+		return class, driftshard.ReasonLeaving
+	case v.VMOut(v.Self):
+		return class, driftshard.ReasonOut
+	}
+	class, found := v.Classes.Get(c.query.Class)
 	if !found {
-		return plan{}, driftshard.ReasonUnclassified
+		return class, driftshard.ReasonUnclassified
 	}
 	service, found := v.Services.Get(class.Service)
 	if !found || len(service.Versions) == 0 {
-		return plan{}, driftshard.ReasonUnpublished
-	}
-	p = plan{query: q, class: class, version: service.Versions[0], deadline: deadline}
-	p.parts = split(p.version, q.Depots)
-	return p, ""
-}
-
-// split assigns the wanted depots to the shards of the version. No wanted
-// depots means all.
-func split(version drifttable.Version, wanted []string) []part {
-	asked := make(map[string]bool, len(wanted))
-	for _, d := range wanted {
-		asked[d] = true
-	}
-	var parts []part
-	for s := range version.Shards.All() {
-		p := part{shard: s}
-		for _, d := range s.Depots {
-			if len(asked) == 0 || asked[d] {
-				p.depots = append(p.depots, d)
-			}
-		}
-		if len(p.depots) > 0 {
-			parts = append(parts, p)
-		}
-	}
-	return parts
-}
-
-// runAll sends one request to each shard and merges the replies.
-func (f *Front) runAll(ctx context.Context, v *drifttable.View, p plan, started time.Time) Outcome {
-	results := make(chan partResult, len(p.parts))
-	for i := range p.parts {
-		go func() {
-			results <- partResult{part: i, result: f.attempt(ctx, v, p, p.parts[i])}
-		}()
-	}
-	g := newGather(f.checker, p)
-	for range p.parts {
-		r := <-results
-		g.add(r)
+		return class, driftshard.ReasonUnpublished
 	}
-	return Answered{Answer: g.answer(started)}
+	return class, ""
 }
 
-// partResult is the result of one part of a plan.
-type partResult struct {
-	part   int
-	result driftshard.Result
-}
-
-// attempt tries the upstreams of a shard in turn until one answers.
-func (f *Front) attempt(ctx context.Context, v *drifttable.View, p plan, t part) driftshard.Result {
-	var last driftshard.Result = driftshard.NotRun{Reason: driftshard.ReasonUnpublished}
-	for i, u := range drifttable.Rank(p.query.Request, t.shard.Upstreams) {
-		owner, found := v.Owner(u)
-		if !found || v.UpstreamOut(u) {
-			continue
-		}
-		last = f.sender.Send(ctx, owner, request(p, t, u, i))
-		if _, done := last.(driftshard.Done); done {
-			return last
-		}
-		if _, unknown := last.(driftshard.Unknown); unknown && p.class.Once {
-			return last
-		}
-	}
-	return last
-}
-
-func request(p plan, t part, upstream string, number int) driftshard.Request {
-	return driftshard.Request{
-		Query:    p.query.Request,
-		Attempt:  fmt.Sprintf("%s/%s/%d", p.query.Request, t.shard.Name, number),
-		Class:    p.class.Name,
-		Service:  p.class.Service,
-		Shard:    t.shard.Name,
-		Upstream: upstream,
-		Version:  p.version.Number,
-		Depots:   t.depots,
-		Text:     p.query.Text,
-		Once:     p.class.Once,
-		Deadline: p.deadline,
-	}
-}
-
-// runOnce sends a request that is not idempotent to one shard.
-func (f *Front) runOnce(ctx context.Context, v *drifttable.View, p plan, started time.Time) Outcome {
-	if len(p.parts) != 1 {
-		return refuse(p.query, driftshard.ReasonUnpublished)
-	}
-	switch r := f.attempt(ctx, v, p, p.parts[0]).(type) {
-	case driftshard.NotRun:
-		return refuse(p.query, r.Reason)
-	case driftshard.Unknown:
-		return Refused{Refusal: driftapi.Refusal{
-			Request: p.query.Request, Ran: driftapi.RanUnknown, Reason: string(r.Reason),
-		}}
-	case driftshard.Done:
-		g := newGather(f.checker, p)
-		g.add(partResult{part: 0, result: r})
-		return Answered{Answer: g.answer(started)}
-	}
-	return refuse(p.query, driftshard.ReasonMalformed)
+func selfLeaves(v *drifttable.View) bool {
+	vm, found := v.VMs.Get(v.Self)
+	return found && vm.Health == drifttable.Leaving
 }
 
-func refuse(q driftapi.Query, reason driftshard.Reason) Outcome {
+func refuse(q driftapi.Query, reason driftshard.Reason) Refused {
 	return Refused{Refusal: driftapi.Refusal{
 		Request: q.Request, Ran: driftapi.RanNo, Reason: string(reason),
 	}}
--- a/internal/driftfront/gather.go
+++ b/internal/driftfront/gather.go
@@ -2,82 +2,136 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/almonddrift/almonddrift/internal/driftcheck"
 	"github.com/almonddrift/almonddrift/internal/driftshard"
 	"github.com/almonddrift/almonddrift/pkg/driftapi"
 )
 
-// gather merges the replies to one query. It belongs to one goroutine.
+// gather merges the replies to one query on one version. It belongs to one
+// goroutine.
 type gather struct {
 	checker *driftcheck.Checker
+	request string
 	plan    plan
 	rows    []driftapi.Row
+	// merged are the depots of the merged replies, replied the parts.
 	merged  []string
+	replied []bool
+	// reasons holds, for each part, why it is missing.
 	reasons []driftshard.Reason
 }
 
-func newGather(checker *driftcheck.Checker, p plan) *gather {
-	reasons := make([]driftshard.Reason, len(p.parts))
-	for i := range reasons {
-		reasons[i] = driftshard.ReasonLate
-	}
-	return &gather{checker: checker, plan: p, reasons: reasons}
+func newGather(checker *driftcheck.Checker, request string, p plan) *gather {
+	return &gather{checker: checker, request: request, plan: p, replied: make([]bool, len(p.parts))}
 }
 
-// add merges a whole reply of the pinned version, and notes the reason of
-// any other result.
-func (g *gather) add(r partResult) {
-	switch result := r.result.(type) {
-	case driftshard.Done:
-		g.reasons[r.part] = g.merge(g.plan.parts[r.part], result)
-	case driftshard.NotRun:
-		g.reasons[r.part] = result.Reason
-	case driftshard.Unknown:
-		g.reasons[r.part] = result.Reason
+// check returns why a reply may not be merged, or "" if it may.
+func (g *gather) check(t part, a *attempt, d driftshard.Done) driftshard.Reason {
+	switch {
+	case d.Attempt != a.id:
+		return driftshard.ReasonCrossed
+	case d.Version != g.plan.version.Number:
+		return driftshard.ReasonVersion
+	case len(d.Rows) != d.Count, !sameNames(d.Depots, t.depots):
+		return driftshard.ReasonShort
+	case !rowsWithin(d.Rows, t.depots):
+		return driftshard.ReasonMalformed
 	}
+	return ""
 }
 
-func (g *gather) merge(t part, d driftshard.Done) driftshard.Reason {
-	if d.Version != g.plan.version.Number {
-		return driftshard.ReasonVersion
+// sameNames reports whether two lists hold the same names in any order.
+func sameNames(a, b []string) bool {
+	if slices.Equal(a, b) {
+		return true
 	}
-	if !slices.Equal(sorted(d.Depots), sorted(t.depots)) {
-		return driftshard.ReasonShort
+	if len(a) != len(b) {
+		return false
 	}
-	g.checker.OneSnapshot(g.plan.query.Request, g.plan.version.Number, d.Version)
+	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
+}
+
+// rowsWithin reports whether every row belongs to one of the depots.
+func rowsWithin(rows []driftshard.Row, depots []string) bool {
+	last := ""
+	for _, r := range rows {
+		if r.Depot == last {
+			continue
+		}
+		if !slices.Contains(depots, r.Depot) {
+			return false
+		}
+		last = r.Depot
+	}
+	return true
+}
+
+// merge adds a reply that check has passed.
+func (g *gather) merge(a *attempt, d driftshard.Done) {
+	g.checker.OneSnapshot(g.request, g.plan.version.Number, d.Version)
+	g.checker.OwnWhole(g.request, a.id, d.Attempt, len(d.Rows), d.Count)
+	g.replied[a.task] = true
+	g.rows = slices.Grow(g.rows, len(d.Rows))
 	for _, row := range d.Rows {
 		g.rows = append(g.rows, driftapi.Row(row))
 	}
 	g.merged = append(g.merged, d.Depots...)
-	return ""
 }
 
-func sorted(names []string) []string {
-	return slices.Sorted(slices.Values(names))
+// coverage returns the share of the asked depots that is merged.
+func (g *gather) coverage() float64 {
+	if g.plan.asked == 0 {
+		return 1
+	}
+	return float64(len(g.merged)) / float64(g.plan.asked)
 }
 
 // answer states what was searched and what is missing.
-func (g *gather) answer(started time.Time) driftapi.Answer {
+func (g *gather) answer() driftapi.Answer {
 	a := driftapi.Answer{
-		Request: g.plan.query.Request, Version: g.plan.version.Number, Rows: g.rows,
-		Searched: []string{}, Missing: []driftapi.Missing{},
+		Request: g.request, Version: g.plan.version.Number, Rows: g.rows,
+		Searched: make([]string, 0, g.plan.asked), Missing: []driftapi.Missing{},
 	}
-	var asked, missing []string
+	asked := make([]string, 0, g.plan.asked)
+	missing := make([]string, 0, g.plan.asked-len(g.merged))
 	for i, t := range g.plan.parts {
 		asked = append(asked, t.depots...)
-		if g.reasons[i] == "" {
+		if g.replied[i] {
 			a.Searched = append(a.Searched, t.depots...)
 			continue
 		}
-		for _, d := range t.depots {
-			missing = append(missing, d)
-			a.Missing = append(a.Missing, driftapi.Missing{Depot: d, Reason: string(g.reasons[i])})
-		}
+		missing = append(missing, t.depots...)
+		a.Missing = appendMissing(a.Missing, t.depots, g.reasons[i])
 	}
+	asked = append(asked, g.plan.unpublished...)
+	missing = append(missing, g.plan.unpublished...)
+	a.Missing = appendMissing(a.Missing, g.plan.unpublished, driftshard.ReasonUnpublished)
 	a.Complete = len(a.Missing) == 0
-	a.Time = float64(time.Since(started)) / float64(time.Millisecond)
 	g.checker.TrueCoverage(a.Request, asked, a.Searched, missing, g.merged)
 	return a
 }
+
+func appendMissing(missing []driftapi.Missing, depots []string, reason driftshard.Reason) []driftapi.Missing {
+	for _, d := range depots {
+		missing = append(missing, driftapi.Missing{Depot: d, Reason: string(reason)})
+	}
+	return missing
+}
+
+// commonReason returns the reason that most parts are missing for.
+func (g *gather) commonReason() driftshard.Reason {
+	common, most := driftshard.ReasonLate, 0
+	for _, r := range g.reasons {
+		number := 0
+		for _, other := range g.reasons {
+			if r == other {
+				number++
+			}
+		}
+		if number > most {
+			common, most = r, number
+		}
+	}
+	return common
+}
--- /dev/null
+++ b/internal/driftfront/latency.go
@@ -0,0 +1,109 @@
+package driftfront
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Shape of the recent latencies that are kept for each class.
+const (
+	latencyWindows   = 2
+	latencyWindow    = 5 * time.Second
+	latencyRefresh   = 100 * time.Millisecond
+	latencyHighest   = 10 * time.Minute
+	latencyDigits    = 2
+	latencySamples   = 64
+	percentHedge     = 95
+	percentMedian    = 50
+	hedgeFloor       = time.Millisecond
+	hedgeUntrained   = 4
+	medianMultiplier = 1.5
+)
+
+// latencyTable holds the recent latencies of shard requests for each class.
+// It is safe for concurrent use.
+type latencyTable struct {
+	mu   sync.RWMutex
+	rows map[string]*latencyRow
+}
+
+func newLatencyTable() *latencyTable {
+	return &latencyTable{rows: make(map[string]*latencyRow)}
+}
+
+// row returns the latencies of a class, made at its first use.
+func (t *latencyTable) row(class string) *latencyRow {
+	t.mu.RLock()
+	r, found := t.rows[class]
+	t.mu.RUnlock()
+	if found {
+		return r
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, found = t.rows[class]; !found {
+		r = &latencyRow{windows: hdrhistogram.NewWindowed(
+			latencyWindows, 1, latencyHighest.Microseconds(), latencyDigits,
+		)}
+		t.rows[class] = r
+	}
+	return r
+}
+
+// latencyRow is the digest of one class.
+type latencyRow struct {
+	mu        sync.Mutex
+	windows   *hdrhistogram.WindowedHistogram
+	rotated   time.Time
+	refreshed time.Time
+	samples   int64
+	hedge     time.Duration
+}
+
+// add records the latency of one shard request.
+func (r *latencyRow) add(took time.Duration, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.rotated) >= latencyWindow {
+		r.rotated = now
+		r.windows.Rotate()
+	}
+	_ = r.windows.Current.RecordValue(max(1, min(took, latencyHighest).Microseconds()))
+}
+
+// delay returns how long to wait for a reply before hedging: the recent
+// 95th percentile, and no less than 1.5 times the median. Without enough
+// samples it is a quarter of the latency target.
+func (r *latencyRow) delay(target time.Duration, now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.refreshed) >= latencyRefresh {
+		r.refreshed = now
+		r.refresh()
+	}
+	if r.samples < latencySamples {
+		return max(hedgeFloor, target/hedgeUntrained)
+	}
+	return max(hedgeFloor, r.hedge)
+}
+
+func (r *latencyRow) refresh() {
+	merged := r.windows.Merge()
+	r.samples = merged.TotalCount()
+	high := float64(merged.ValueAtQuantile(percentHedge))
+	median := float64(merged.ValueAtQuantile(percentMedian))
+	r.hedge = time.Duration(max(high, medianMultiplier*median) * float64(time.Microsecond))
+}
+
+// exceeded records a request that was given up after the given time, unless
+// that was before a hedge was due.
+func (r *latencyRow) exceeded(took time.Duration, now time.Time) {
+	r.mu.Lock()
+	early := took < r.hedge
+	r.mu.Unlock()
+	if !early {
+		r.add(took, now)
+	}
+}
--- /dev/null
+++ b/internal/driftfront/load.go
@@ -0,0 +1,198 @@
+package driftfront
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftshard"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+)
+
+// How what is known of an upstream or a VM ages.
+const (
+	// loadLife is how long a reported queue is believed.
+	loadLife = 500 * time.Millisecond
+	// latencyHalf is the time in which the excess of an upstream's latency
+	// over the typical one is forgotten by half.
+	latencyHalf = 2 * time.Second
+	// latencyWeight is the weight of a new sample in a smoothed latency.
+	latencyWeight = 0.2
+	// avoidUpstream is how long an upstream that refused is avoided when it
+	// does not say how long.
+	avoidUpstream = 50 * time.Millisecond
+	// avoidVM is how long a VM that could not be reached is avoided.
+	avoidVM = 250 * time.Millisecond
+)
+
+// loadTable holds what replies tell about upstreams and VMs. It is safe for
+// concurrent use.
+type loadTable struct {
+	mu   sync.RWMutex
+	rows map[string]*loadRow
+	vms  map[string]time.Time
+
+	typical smoothed
+}
+
+func newLoadTable() *loadTable {
+	return &loadTable{rows: make(map[string]*loadRow), vms: make(map[string]time.Time)}
+}
+
+// row returns the row of an upstream, made at its first use.
+func (t *loadTable) row(upstream string) *loadRow {
+	t.mu.RLock()
+	r, found := t.rows[upstream]
+	t.mu.RUnlock()
+	if found {
+		return r
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, found = t.rows[upstream]; !found {
+		r = &loadRow{}
+		t.rows[upstream] = r
+	}
+	return r
+}
+
+// avoidVM notes that a VM could not be reached.
+func (t *loadTable) avoidVM(vm string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.vms[vm] = now.Add(avoidVM)
+}
+
+// avoidsVM reports whether a VM could not be reached a short while ago.
+func (t *loadTable) avoidsVM(vm string, now time.Time) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return now.Before(t.vms[vm])
+}
+
+// sweep forgets the upstreams and VMs that are no longer published.
+func (t *loadTable) sweep(v *drifttable.View) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for u := range t.rows {
+		if !v.Upstreams.Has(u) {
+			delete(t.rows, u)
+		}
+	}
+	for vm := range t.vms {
+		if !v.VMs.Has(vm) {
+			delete(t.vms, vm)
+		}
+	}
+}
+
+// loadRow is what is known of one upstream.
+type loadRow struct {
+	mu      sync.Mutex
+	load    driftshard.Load
+	loaded  time.Time
+	latency float64
+	timed   time.Time
+	flight  int
+	avoid   time.Time
+}
+
+// started counts an attempt in flight.
+func (r *loadRow) started() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.flight++
+}
+
+// answered notes a reply after the given time.
+func (r *loadRow) answered(l driftshard.Load, took time.Duration, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.flight--
+	r.load, r.loaded, r.avoid = l, now, time.Time{}
+	sample := float64(took)
+	if r.timed.IsZero() {
+		r.latency = sample
+	} else {
+		r.latency += latencyWeight * (sample - r.latency)
+	}
+	r.timed = now
+}
+
+// refused notes a refusal, after which the upstream is avoided for a while.
+func (r *loadRow) refused(l driftshard.Load, wait time.Duration, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.flight--
+	if l != (driftshard.Load{}) {
+		r.load, r.loaded = l, now
+	}
+	r.avoid = now.Add(max(wait, avoidUpstream))
+}
+
+// ended notes an attempt that ended without a reply after the given time,
+// which its latency exceeds.
+func (r *loadRow) ended(took time.Duration, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.flight--
+	if float64(took) > r.latency {
+		r.latency = float64(took)
+		r.timed = now
+	}
+}
+
+// standing is what a choice needs to know of an upstream.
+type standing struct {
+	score   float64
+	avoided bool
+	queued  bool
+}
+
+// standing returns the expected time of a new request at the upstream, in
+// nanoseconds.
+func (r *loadRow) standing(typical float64, now time.Time) standing {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	latency := typical
+	if !r.timed.IsZero() {
+		age := now.Sub(r.timed).Seconds() / latencyHalf.Seconds()
+		latency += (r.latency - typical) * math.Exp2(-age)
+	}
+	s := standing{avoided: now.Before(r.avoid)}
+	busy, limit := float64(r.flight), 1.0
+	if r.load.Limit > 0 {
+		limit = float64(r.load.Limit)
+	}
+	if now.Sub(r.loaded) < loadLife {
+		busy += float64(r.load.Queue)
+		s.queued = r.load.Queue > 0
+		s.avoided = s.avoided || r.load.Cold
+	}
+	s.score = latency * (1 + busy/limit)
+	return s
+}
+
+// smoothed is a smoothed duration. It is safe for concurrent use.
+type smoothed struct {
+	mu    sync.Mutex
+	value float64
+}
+
+// typicalWeight is the weight of a new sample in the typical latency.
+const typicalWeight = 0.01
+
+func (s *smoothed) add(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.value == 0 {
+		s.value = float64(d)
+	}
+	s.value += typicalWeight * (float64(d) - s.value)
+}
+
+func (s *smoothed) get() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.value
+}
--- /dev/null
+++ b/internal/driftfront/plan.go
@@ -0,0 +1,112 @@
+package driftfront
+
+import (
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+)
+
+// plan is one index version and what a query asks of each of its shards.
+type plan struct {
+	version drifttable.Version
+	parts   []part
+	// asked is the number of depots that the query asks for, each once.
+	asked int
+	// unpublished are the depots that the version does not hold.
+	unpublished []string
+}
+
+// part is the share of a query that one shard answers.
+type part struct {
+	shard  drifttable.Shard
+	depots []string
+}
+
+// newPlan assigns the wanted depots to the shards of the version, each once.
+// No wanted depots means all.
+func newPlan(version drifttable.Version, wanted []string) plan {
+	p := plan{version: version, parts: make([]part, 0, version.Shards.Len())}
+	if len(wanted) == 0 {
+		for s := range version.Shards.All() {
+			p.add(s, s.Depots)
+		}
+		return p
+	}
+	left := make(map[string]bool, len(wanted))
+	for _, d := range wanted {
+		left[d] = true
+	}
+	for s := range version.Shards.All() {
+		p.add(s, takeDepots(left, s.Depots))
+	}
+	for _, d := range wanted {
+		if left[d] {
+			delete(left, d)
+			p.unpublished = append(p.unpublished, d)
+		}
+	}
+	p.asked += len(p.unpublished)
+	return p
+}
+
+func (p *plan) add(s drifttable.Shard, depots []string) {
+	if len(depots) == 0 {
+		return
+	}
+	p.parts = append(p.parts, part{shard: s, depots: depots})
+	p.asked += len(depots)
+}
+
+// takeDepots moves the depots that are left out of the set.
+func takeDepots(left map[string]bool, depots []string) (taken []string) {
+	for _, d := range depots {
+		if left[d] {
+			delete(left, d)
+			taken = append(taken, d)
+		}
+	}
+	return taken
+}
+
+// expect returns the share of the asked depots that some usable upstream is
+// taken to serve in the plan's version.
+func (f *Front) expect(v *drifttable.View, p plan, probe bool, now time.Time) float64 {
+	if p.asked == 0 {
+		return 1
+	}
+	served := 0
+	for _, t := range p.parts {
+		if f.servable(v, t.shard, p.version.Number, probe, now) {
+			served += len(t.depots)
+		}
+	}
+	return float64(served) / float64(p.asked)
+}
+
+func (f *Front) servable(v *drifttable.View, s drifttable.Shard, version uint64, probe bool, now time.Time) bool {
+	for _, u := range s.Upstreams {
+		if !v.UpstreamOut(u) && !f.refusals.refuses(u, version, probe, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// choosePlan returns the plan on the version that covers most of what the
+// query asks for; among equals the newest. With probe set, refusals that are
+// no longer recent are not believed.
+func (f *Front) choosePlan(v *drifttable.View, c call, probe bool, now time.Time) (best plan, share float64) {
+	service, _ := v.Services.Get(c.class.Service)
+	share = -1
+	for _, version := range service.Versions {
+		p := newPlan(version, c.query.Depots)
+		expected := f.expect(v, p, probe, now)
+		if expected > share {
+			best, share = p, expected
+		}
+		if share >= 1 {
+			break
+		}
+	}
+	return best, share
+}
--- /dev/null
+++ b/internal/driftfront/refusal.go
@@ -0,0 +1,95 @@
+package driftfront
+
+import (
+	"sync"
+	"time"
+)
+
+// Lives of what is known of an upstream that refused an index version.
+const (
+	refusalLife  = 10 * time.Second
+	refusalProbe = time.Second
+)
+
+// refusalKey is an upstream and an index version that it does not serve.
+type refusalKey struct {
+	upstream string
+	version  uint64
+}
+
+// refusalTable remembers for a short while which upstream refused which
+// index version, and paces the queries that ask again. It is safe for
+// concurrent use.
+type refusalTable struct {
+	mu     sync.RWMutex
+	rows   map[refusalKey]time.Time
+	probed map[string]time.Time
+}
+
+func newRefusalTable() *refusalTable {
+	return &refusalTable{rows: make(map[refusalKey]time.Time), probed: make(map[string]time.Time)}
+}
+
+// refused notes that the upstream does not serve the version.
+func (t *refusalTable) refused(upstream string, version uint64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows[refusalKey{upstream, version}] = now
+}
+
+// served notes that the upstream serves the version.
+func (t *refusalTable) served(upstream string, version uint64) {
+	key := refusalKey{upstream, version}
+	t.mu.RLock()
+	_, found := t.rows[key]
+	t.mu.RUnlock()
+	if !found {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.rows, key)
+}
+
+// refuses reports whether the upstream is taken not to serve the version. A
+// probing query believes recent refusals only.
+func (t *refusalTable) refuses(upstream string, version uint64, probe bool, now time.Time) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if len(t.rows) == 0 {
+		return false
+	}
+	at, found := t.rows[refusalKey{upstream, version}]
+	if probe {
+		return found && now.Sub(at) < refusalProbe
+	}
+	return found && now.Sub(at) < refusalLife
+}
+
+// probe reports whether a query of the service may probe versions that were
+// refused: one query in each refusalProbe.
+func (t *refusalTable) probe(service string, now time.Time) bool {
+	t.mu.RLock()
+	idle := len(t.rows) == 0 || now.Sub(t.probed[service]) < refusalProbe
+	t.mu.RUnlock()
+	if idle {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.probed[service]) < refusalProbe {
+		return false
+	}
+	t.probed[service] = now
+	return true
+}
+
+func (t *refusalTable) sweep(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key, at := range t.rows {
+		if now.Sub(at) >= refusalLife {
+			delete(t.rows, key)
+		}
+	}
+}
--- a/internal/driftnode/node.go
+++ b/internal/driftnode/node.go
@@ -42,6 +42,8 @@
 	Checker   *driftcheck.Checker
 	// Life is how long callers may keep the list of entry VMs.
 	Life time.Duration
+	// FrontOptions change the policies of the front.
+	FrontOptions []driftfront.Option
 }
 
 // Node is one VM of the system without its sockets.
@@ -62,7 +64,7 @@
 	handover := driftpeer.NewHandoverClient(views, p.Transport)
 	n.Owner = driftowner.New(views, p.Dialer, handover, n.Control, p.Events, p.Checker)
 	router := driftpeer.NewRouter(views, n.Owner, p.Transport, n.Control)
-	n.Front = driftfront.New(views, router, p.Events, p.Checker)
+	n.Front = driftfront.New(views, router, p.Events, p.Checker, p.FrontOptions...)
 	n.Steer = driftsteer.New(views, p.Life)
 	n.Server = driftpeer.NewServer(
 		p.Self.Name, p.Self.Boot, n.Control, n.Owner, n.Owner, p.Events, n,
@@ -78,6 +80,10 @@
 		n.Owner.Run(ctx)
 		return nil
 	})
+	group.Go(func() error {
+		n.Front.Run(ctx)
+		return nil
+	})
 	return group.Wait()
 }
 
--- a/internal/drifttest/fleet.go
+++ b/internal/drifttest/fleet.go
@@ -35,8 +35,9 @@
 	farDelay  = 1500 * time.Microsecond
 )
 
-// settleTime is how long a new fleet runs before it is used.
-const settleTime = 5 * time.Second
+// settleTime is how long a new fleet runs before it is used: long enough for
+// fronts to run requests that are not idempotent.
+const settleTime = 15 * time.Second
 
 // Fleet is eight nodes over stand-ins. Make it inside a synctest bubble.
 type Fleet struct {
