Test the front over a scripted sender; judge silent VMs by new connections

Cause: a shared connection that goes silent was used until its idle limit. Change: the router renews the connections of a VM that answered no call for 100 ms; refusals of a version are believed from the start of a restarted query.

--- a/internal/driftfake/network.go
+++ b/internal/driftfake/network.go
@@ -142,6 +142,11 @@
 	return &remote{network: t.network, link: link{t.from, address}, fresh: true}
 }
 
+// Renew implements driftpeer.Transport: new connections are not silent.
+func (t *transport) Renew(address string) {
+	t.network.Silence(t.from, address, false)
+}
+
 // remote is a VM as another VM calls it.
 type remote struct {
 	network *Network
--- a/internal/driftfront/attempt.go
+++ b/internal/driftfront/attempt.go
@@ -119,7 +119,7 @@
 	case driftshard.ReasonVersion:
 		f.refusals.refused(a.upstream, a.version, now)
 		load.ended(0, now)
-	case driftshard.ReasonOwner:
+	case driftshard.ReasonOwner, driftshard.ReasonCanceled:
 		load.ended(0, now)
 	case driftshard.ReasonUnreachable:
 		f.loads.avoidVM(a.vm, now)
--- a/internal/driftfront/plan.go
+++ b/internal/driftfront/plan.go
@@ -70,22 +70,22 @@
 
 // expect returns the share of the asked depots that some usable upstream is
 // taken to serve in the plan's version.
-func (f *Front) expect(v *drifttable.View, p plan, probe bool, now time.Time) float64 {
+func (f *Front) expect(v *drifttable.View, p plan, since, now time.Time) float64 {
 	if p.asked == 0 {
 		return 1
 	}
 	served := 0
 	for _, t := range p.parts {
-		if f.servable(v, t.shard, p.version.Number, probe, now) {
+		if f.servable(v, t.shard, p.version.Number, since, now) {
 			served += len(t.depots)
 		}
 	}
 	return float64(served) / float64(p.asked)
 }
 
-func (f *Front) servable(v *drifttable.View, s drifttable.Shard, version uint64, probe bool, now time.Time) bool {
+func (f *Front) servable(v *drifttable.View, s drifttable.Shard, version uint64, since, now time.Time) bool {
 	for _, u := range s.Upstreams {
-		if !v.UpstreamOut(u) && !f.refusals.refuses(u, version, probe, now) {
+		if !v.UpstreamOut(u) && !f.refusals.refuses(u, version, since, now) {
 			return true
 		}
 	}
@@ -93,14 +93,14 @@
 }
 
 // choosePlan returns the plan on the version that covers most of what the
-// query asks for; among equals the newest. With probe set, refusals that are
-// no longer recent are not believed.
-func (f *Front) choosePlan(v *drifttable.View, c call, probe bool, now time.Time) (best plan, share float64) {
+// query asks for; among equals the newest. Refusals before the given
+// moment are not believed.
+func (f *Front) choosePlan(v *drifttable.View, c call, since, now time.Time) (best plan, share float64) {
 	service, _ := v.Services.Get(c.class.Service)
 	share = -1
 	for _, version := range service.Versions {
 		p := newPlan(version, c.query.Depots)
-		expected := f.expect(v, p, probe, now)
+		expected := f.expect(v, p, since, now)
 		if expected > share {
 			best, share = p, expected
 		}
--- a/internal/driftfront/refusal.go
+++ b/internal/driftfront/refusal.go
@@ -51,37 +51,35 @@
 	delete(t.rows, key)
 }
 
-// refuses reports whether the upstream is taken not to serve the version. A
-// probing query believes recent refusals only.
-func (t *refusalTable) refuses(upstream string, version uint64, probe bool, now time.Time) bool {
+// refuses reports whether the upstream has refused the version since the
+// given moment, and not too long ago.
+func (t *refusalTable) refuses(upstream string, version uint64, since, now time.Time) bool {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	if len(t.rows) == 0 {
 		return false
 	}
 	at, found := t.rows[refusalKey{upstream, version}]
-	if probe {
-		return found && now.Sub(at) < refusalProbe
-	}
-	return found && now.Sub(at) < refusalLife
+	return found && now.Sub(at) < refusalLife && !at.Before(since)
 }
 
-// probe reports whether a query of the service may probe versions that were
-// refused: one query in each refusalProbe.
-func (t *refusalTable) probe(service string, now time.Time) bool {
+// since returns the moment from which on a query of the service believes
+// refusals. One query in each refusalProbe believes recent ones only, and so
+// finds out whether a version is served again.
+func (t *refusalTable) since(service string, now time.Time) time.Time {
 	t.mu.RLock()
 	idle := len(t.rows) == 0 || now.Sub(t.probed[service]) < refusalProbe
 	t.mu.RUnlock()
 	if idle {
-		return false
+		return time.Time{}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.Sub(t.probed[service]) < refusalProbe {
-		return false
+		return time.Time{}
 	}
 	t.probed[service] = now
-	return true
+	return now.Add(-refusalProbe)
 }
 
 func (t *refusalTable) sweep(now time.Time) {
--- /dev/null
+++ b/internal/driftfront/script_test.go
@@ -0,0 +1,209 @@
+package driftfront_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almonddrift/almonddrift/internal/driftcheck"
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftfront"
+	"github.com/almonddrift/almonddrift/internal/driftshard"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+	"github.com/almonddrift/almonddrift/pkg/driftapi"
+)
+
+// Shape of the scripted fleet.
+const (
+	shardCount   = 4
+	replicaCount = 3
+	replyTime    = 3 * time.Millisecond
+)
+
+// script is a Sender whose results a test decides, and the front over it.
+type script struct {
+	t       *testing.T
+	front   *driftfront.Front
+	views   *drifttable.Holder
+	events  *driftevent.Log
+	checker *driftcheck.Checker
+	reply   func(ctx context.Context, vm string, r driftshard.Request) driftshard.Result
+
+	mu   sync.Mutex
+	sent []sending
+}
+
+// sending is a request that the front sent.
+type sending struct {
+	vm      string
+	request driftshard.Request
+}
+
+// newScript returns a front over four VMs, of which vm-1 is its own, and
+// four shards of two depots with three replicas each.
+func newScript(view drifttable.View, opts ...driftfront.Option) *script {
+	s := &script{views: drifttable.NewHolder(view), events: driftevent.NewLog("vm-1", 1)}
+	s.checker = driftcheck.NewChecker(s.events)
+	s.reply = func(ctx context.Context, _ string, r driftshard.Request) driftshard.Result {
+		return after(ctx, replyTime, done(r))
+	}
+	opts = append([]driftfront.Option{driftfront.WithSeed(1), driftfront.WithSettle(0), driftfront.WithFresh(time.Hour)}, opts...)
+	s.front = driftfront.New(s.views, s, s.events, s.checker, opts...)
+	return s
+}
+
+// Send implements driftshard.Sender.
+func (s *script) Send(ctx context.Context, vm string, r driftshard.Request) driftshard.Result {
+	s.mu.Lock()
+	s.sent = append(s.sent, sending{vm, r})
+	s.mu.Unlock()
+	return s.reply(ctx, vm, r)
+}
+
+func (s *script) sendings() []sending {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]sending(nil), s.sent...)
+}
+
+func done(r driftshard.Request) driftshard.Done {
+	d := driftshard.Done{Attempt: r.Attempt, Version: r.Version, Depots: r.Depots, Count: len(r.Depots)}
+	for _, depot := range r.Depots {
+		d.Rows = append(d.Rows, driftshard.Row{Depot: depot, Text: fmt.Sprintf("%s %s v%d", r.Query, r.Text, r.Version)})
+	}
+	return d
+}
+
+// after returns the result once the time is over, or Unknown once ctx ends.
+func after(ctx context.Context, wait time.Duration, result driftshard.Result) driftshard.Result {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return result
+	case <-ctx.Done():
+		return driftshard.Unknown{Reason: driftshard.ReasonCanceled}
+	}
+}
+
+func notRun(reason driftshard.Reason) driftshard.Result {
+	return driftshard.NotRun{Reason: reason}
+}
+
+// layout returns a version in which shard s-i holds depots d-i-1 and d-i-2.
+func layout(number uint64) drifttable.Version {
+	var shards []drifttable.Shard
+	for i := 1; i <= shardCount; i++ {
+		s := drifttable.Shard{Name: fmt.Sprintf("s-%d", i)}
+		for j := 1; j <= 2; j++ {
+			s.Depots = append(s.Depots, fmt.Sprintf("d-%d-%d", i, j))
+		}
+		for j := range replicaCount {
+			s.Upstreams = append(s.Upstreams, fmt.Sprintf("u-%d%c", i, 'a'+rune(j)))
+		}
+		shards = append(shards, s)
+	}
+	return drifttable.Version{Number: number, Shards: drifttable.NewTable(shards...)}
+}
+
+// view returns a view of the scripted fleet with the given versions, newest
+// first. Replica a of every shard is in the domain of vm-1.
+func view(numbers ...uint64) drifttable.View {
+	v := drifttable.View{Self: "vm-1", Made: time.Now()}
+	var vms []drifttable.VM
+	var domains []drifttable.Domain
+	for i := 1; i <= 4; i++ {
+		vms = append(vms, drifttable.VM{Name: fmt.Sprintf("vm-%d", i), Domain: domain(i - 1), Boot: 7})
+	}
+	for i := range replicaCount {
+		domains = append(domains, drifttable.Domain{Name: domain(i)})
+	}
+	var upstreams []drifttable.Upstream
+	var owners []drifttable.Owner
+	for i := 1; i <= shardCount; i++ {
+		for j := range replicaCount {
+			u := fmt.Sprintf("u-%d%c", i, 'a'+rune(j))
+			upstreams = append(upstreams, drifttable.Upstream{Name: u, Service: "stock", Domain: domain(j)})
+			owner := fmt.Sprintf("vm-%d", j+1)
+			owners = append(owners, drifttable.Owner{Upstream: u, Name: owner, Candidates: []string{owner, "vm-4"}})
+		}
+	}
+	service := drifttable.Service{Name: "stock"}
+	for _, n := range numbers {
+		service.Versions = append(service.Versions, layout(n))
+	}
+	v.VMs, v.Domains = drifttable.NewTable(vms...), drifttable.NewTable(domains...)
+	v.Upstreams, v.Owners = drifttable.NewTable(upstreams...), drifttable.NewTable(owners...)
+	v.Services = drifttable.NewTable(service)
+	v.Classes = drifttable.NewTable(
+		drifttable.Class{Name: "counter", Service: "stock", Fast: 60 * time.Millisecond, Whole: 0.75},
+		drifttable.Class{Name: "strict", Service: "stock", Fast: 60 * time.Millisecond, Whole: 1},
+		drifttable.Class{Name: "night", Service: "stock", Fast: 2 * time.Second, Whole: 1},
+		drifttable.Class{Name: "reserve", Service: "stock", Fast: 100 * time.Millisecond, Whole: 1, Once: true},
+	)
+	return v
+}
+
+func domain(i int) string {
+	return "domain-" + string('a'+rune(i%replicaCount))
+}
+
+// query asks for all depots, or the given ones, within 500 ms.
+func (s *script) query(class string, depots ...string) driftfront.Outcome {
+	return s.front.Query(context.Background(), driftapi.Query{
+		Request: "q-1", Class: class, Text: "church", Deadline: 500, Depots: depots, Explain: true,
+	})
+}
+
+// scripted runs a test in virtual time over a scripted fleet of version 1.
+func scripted(t *testing.T, run func(s *script)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := newScript(view(1))
+		s.t = t
+		run(s)
+		assertKept(t, s)
+	})
+}
+
+func assertKept(t *testing.T, s *script) {
+	t.Helper()
+	require.Zero(t, s.checker.Total(), "%+v", s.checker.Violations())
+}
+
+func assertAnswered(t *testing.T, o driftfront.Outcome) driftapi.Answer {
+	t.Helper()
+	answered, ok := o.(driftfront.Answered)
+	require.True(t, ok, "%+v", o)
+	return answered.Answer
+}
+
+func assertRefused(t *testing.T, o driftfront.Outcome, ran driftapi.Ran, reason driftshard.Reason) (field string) {
+	t.Helper()
+	refused, ok := o.(driftfront.Refused)
+	require.True(t, ok, "%+v", o)
+	require.Equal(t, ran, refused.Refusal.Ran)
+	require.Equal(t, string(reason), refused.Refusal.Reason)
+	return refused.Refusal.Field
+}
+
+// assertReason asserts that every missing depot is missing for the reason.
+func assertReason(t *testing.T, a driftapi.Answer, reason driftshard.Reason, depots ...string) {
+	t.Helper()
+	var missing []string
+	for _, m := range a.Missing {
+		missing = append(missing, m.Depot)
+		require.Equal(t, string(reason), m.Reason)
+	}
+	require.ElementsMatch(t, depots, missing)
+}
+
+func replica(upstream string) byte {
+	return upstream[strings.LastIndexByte(upstream, '-')+2]
+}
--- a/internal/driftfront/search.go
+++ b/internal/driftfront/search.go
@@ -22,8 +22,9 @@
 	generation int
 	open       int
 	live       int
-	probe      bool
 	ran        bool
+	// since is the moment from which on refusals of a version are believed.
+	since time.Time
 	// refused is set once the last replica of a shard refused the version.
 	refused bool
 	delay   time.Duration
@@ -35,7 +36,7 @@
 
 func newSearch(f *Front, c call) *search {
 	return &search{
-		front: f, call: c, probe: f.refusals.probe(c.class.Service, c.started),
+		front: f, call: c, since: f.refusals.since(c.class.Service, c.started),
 		delay:   f.latencies.row(c.class.Name).delay(c.class.Fast, c.started),
 		explain: newExplanation(c),
 	}
@@ -45,7 +46,7 @@
 func (s *search) run(ctx context.Context) Outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	p, _ := s.front.choosePlan(s.front.views.Load(), s.call, s.probe, s.call.started)
+	p, _ := s.front.choosePlan(s.front.views.Load(), s.call, s.since, s.call.started)
 	s.pin(ctx, p, s.call.started)
 	timer := time.NewTimer(time.Until(s.wake))
 	defer timer.Stop()
@@ -227,7 +228,7 @@
 		return
 	}
 	v := s.front.views.Load()
-	next, expected := s.front.choosePlan(v, s.call, s.probe, now)
+	next, expected := s.front.choosePlan(v, s.call, s.call.started, now)
 	if next.version.Number == s.gather.plan.version.Number || expected <= s.possible() {
 		return
 	}
@@ -235,6 +236,7 @@
 	s.front.events.Record(driftevent.QueryRestarted, s.call.query.Request, s.call.class.Service,
 		versionsText(s.gather.plan.version.Number, next.version.Number))
 	s.abandon()
+	s.since = s.call.started
 	s.pin(ctx, next, now)
 }
 
--- /dev/null
+++ b/internal/driftfront/snapshot_test.go
@@ -0,0 +1,111 @@
+package driftfront_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftshard"
+)
+
+// serve makes the upstreams that a function names serve the versions that it
+// returns, and refuse others.
+func (s *script) serve(versions func(upstream string) []uint64) {
+	sound := s.reply
+	s.reply = func(ctx context.Context, vm string, r driftshard.Request) driftshard.Result {
+		for _, v := range versions(r.Upstream) {
+			if v == r.Version {
+				return sound(ctx, vm, r)
+			}
+		}
+		return notRun(driftshard.ReasonVersion)
+	}
+}
+
+func TestSnapshot(t *testing.T) {
+	run := func(t *testing.T, versions func(string) []uint64, check func(s *script)) {
+		t.Helper()
+		synctest.Test(t, func(t *testing.T) {
+			s := newScript(view(2, 1))
+			s.t = t
+			s.serve(versions)
+			check(s)
+			assertKept(t, s)
+		})
+	}
+	halfway := func(u string) []uint64 {
+		if u[:3] == "u-1" {
+			return []uint64{1}
+		}
+		return []uint64{1, 2}
+	}
+	t.Run("a version that is half rolled out gives way to the one before", func(t *testing.T) {
+		run(t, halfway, func(s *script) {
+			a := assertAnswered(s.t, s.query("counter"))
+			assert.True(s.t, a.Complete)
+			assert.EqualValues(s.t, 1, a.Version)
+			assert.EqualValues(s.t, 1, s.front.Counts().Restarts)
+			for range 20 {
+				a = assertAnswered(s.t, s.query("counter"))
+				assert.True(s.t, a.Complete)
+			}
+			assert.EqualValues(s.t, 1, s.front.Counts().Restarts, "what was learned pins later queries")
+		})
+	})
+	t.Run("one replica of each shard is enough for the newest version", func(t *testing.T) {
+		run(t, func(u string) []uint64 {
+			if replica(u) == 'b' {
+				return []uint64{2}
+			}
+			return []uint64{1}
+		}, func(s *script) {
+			a := assertAnswered(s.t, s.query("counter"))
+			assert.True(s.t, a.Complete)
+			assert.EqualValues(s.t, 2, a.Version)
+		})
+	})
+	t.Run("the newest version is taken again once it is served", func(t *testing.T) {
+		now := halfway
+		run(t, func(u string) []uint64 { return now(u) }, func(s *script) {
+			s.query("counter")
+			now = func(string) []uint64 { return []uint64{2} }
+			a := assertAnswered(s.t, s.query("counter"))
+			assert.True(s.t, a.Complete)
+			assert.EqualValues(s.t, 2, a.Version)
+		})
+	})
+	t.Run("a version that no other can replace is answered in part", func(t *testing.T) {
+		run(t, func(u string) []uint64 {
+			if u[:3] == "u-1" {
+				return nil
+			}
+			return []uint64{2}
+		}, func(s *script) {
+			a := assertAnswered(s.t, s.query("counter"))
+			assert.EqualValues(s.t, 2, a.Version)
+			assertReason(s.t, a, driftshard.ReasonVersion, "d-1-1", "d-1-2")
+		})
+	})
+	t.Run("a reply of another version is dropped", func(t *testing.T) {
+		run(t, func(string) []uint64 { return []uint64{1, 2} }, func(s *script) {
+			sound := s.reply
+			s.reply = func(ctx context.Context, vm string, r driftshard.Request) driftshard.Result {
+				if r.Upstream == "u-2a" || r.Upstream == "u-2b" {
+					d := done(r)
+					d.Version = 1
+					return after(ctx, replyTime, d)
+				}
+				return sound(ctx, vm, r)
+			}
+			for range 5 {
+				a := assertAnswered(s.t, s.query("strict"))
+				assert.True(s.t, a.Complete)
+				assert.EqualValues(s.t, 2, a.Version)
+			}
+			assert.NotZero(s.t, s.events.Count(driftevent.ReplyDropped))
+		})
+	})
+}
--- a/internal/driftfront/task.go
+++ b/internal/driftfront/task.go
@@ -138,7 +138,7 @@
 }
 
 func (s *search) refuses(upstream string, now time.Time) bool {
-	return s.front.refusals.refuses(upstream, s.gather.plan.version.Number, s.probe, now)
+	return s.front.refusals.refuses(upstream, s.gather.plan.version.Number, s.since, now)
 }
 
 // relay returns a VM that may reach the owner of an upstream whose owner
--- a/internal/driftpeer/link.go
+++ b/internal/driftpeer/link.go
@@ -182,6 +182,15 @@
 	p.links = kept
 }
 
+// retire lets later calls use new links.
+func (p *linkPool) retire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		l.retired.Store(true)
+	}
+}
+
 // close closes every link. Calls that are pending fail.
 func (p *linkPool) close() {
 	p.mu.Lock()
--- a/internal/driftpeer/router.go
+++ b/internal/driftpeer/router.go
@@ -15,6 +15,8 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -28,15 +30,25 @@
 	local     driftshard.Handler
 	transport Transport
 	observer  driftshard.Observer
+
+	mu      sync.Mutex
+	waiting map[string]time.Time
 }
 
+// silentAfter is how long a VM may leave all calls without an answer before
+// its connections are taken to be silent.
+const silentAfter = 100 * time.Millisecond
+
 // NewRouter returns a Router that reads addresses from views, serves
 // requests to this VM by the local handler, and tells the observer which VMs
 // answer.
 func NewRouter(
 	views *drifttable.Holder, local driftshard.Handler, transport Transport, observer driftshard.Observer,
 ) *Router {
-	return &Router{views: views, local: local, transport: transport, observer: observer}
+	return &Router{
+		views: views, local: local, transport: transport, observer: observer,
+		waiting: make(map[string]time.Time),
+	}
 }
 
 // Send implements driftshard.Sender.
@@ -49,24 +61,64 @@
 	if !found {
 		return driftshard.NotRun{Reason: driftshard.ReasonUnreachable}
 	}
+	r.sent(vm, time.Now())
 	reply, err := r.transport.Peer(target.Peers).Shard(ctx, requestToWire(request))
 	if err != nil {
-		return r.failure(ctx, vm, err)
+		return r.failure(ctx, target, err)
 	}
+	r.answered(vm)
 	r.observer.Observe(driftshard.PeerAnswered{VM: vm})
 	return resultFromWire(request.Attempt, reply)
 }
 
-// failure tells whether a call that failed may have run.
-func (r *Router) failure(ctx context.Context, vm string, err error) driftshard.Result {
-	if errors.Is(err, ErrUnreached) {
-		r.observer.Observe(driftshard.PeerFailed{VM: vm})
-		return driftshard.NotRun{Reason: driftshard.ReasonUnreachable}
+// sent notes a call to a VM from which nothing is awaited yet.
+func (r *Router) sent(vm string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, found := r.waiting[vm]; !found {
+		r.waiting[vm] = now
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
+}
+
+// answered notes that a VM has answered.
+func (r *Router) answered(vm string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.waiting, vm)
+}
+
+// silent reports whether a VM has answered no call for silentAfter, and
+// begins to count anew if so.
+func (r *Router) silent(vm string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	since, found := r.waiting[vm]
+	if !found || now.Sub(since) < silentAfter {
+		return false
+	}
+	delete(r.waiting, vm)
+	return true
+}
+
+// failure tells whether a call that failed may have run. The connections of
+// a VM that has gone silent are replaced, so that the VM is judged by new
+// ones.
+func (r *Router) failure(ctx context.Context, vm drifttable.VM, err error) driftshard.Result {
+	silent := r.silent(vm.Name, time.Now())
+	canceled := errors.Is(ctx.Err(), context.Canceled)
+	if silent {
+		r.transport.Renew(vm.Peers)
+	}
+	switch {
+	case errors.Is(err, ErrUnreached) && canceled && !silent:
+		return driftshard.NotRun{Reason: driftshard.ReasonCanceled}
+	case errors.Is(err, ErrUnreached):
+		r.observer.Observe(driftshard.PeerFailed{VM: vm.Name})
+		return driftshard.NotRun{Reason: driftshard.ReasonUnreachable}
+	case canceled && !silent:
 		return driftshard.Unknown{Reason: driftshard.ReasonCanceled}
 	}
-	r.observer.Observe(driftshard.PeerFailed{VM: vm})
+	r.observer.Observe(driftshard.PeerFailed{VM: vm.Name})
 	if ctx.Err() != nil {
 		return driftshard.Unknown{Reason: driftshard.ReasonSilent}
 	}
--- a/internal/driftpeer/transport.go
+++ b/internal/driftpeer/transport.go
@@ -23,6 +23,9 @@
 	// Fresh returns a client that makes a new connection for each call, so
 	// that a connection gone silent does not pass for a dead VM.
 	Fresh(address string) pb.Peer
+	// Renew lets later calls of Peer's clients use new connections. Calls on
+	// the connections before may still end.
+	Renew(address string)
 }
 
 // HTTPTransport is Twirp over HTTP for control and reports. Shard requests
@@ -84,6 +87,16 @@
 	return newHTTPPeer(address, true)
 }
 
+// Renew implements Transport.
+func (t *HTTPTransport) Renew(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p, found := t.peers[address]; found {
+		p.links.retire()
+		p.base.CloseIdleConnections()
+	}
+}
+
 func newHTTPPeer(address string, fresh bool) *httpPeer {
 	base := &http.Transport{DisableCompression: true, DisableKeepAlives: fresh}
 	client := &http.Client{Transport: &onceTransport{base: base}}
