--- a/internal/drifttest/fleet.go
+++ b/internal/drifttest/fleet.go
@@ -41,8 +41,9 @@
 	farDelay  = 1500 * time.Microsecond
 )
 
-// settleTime is how long a new fleet runs before it is used.
-const settleTime = 5 * time.Second
+// settleTime is how long a new fleet runs before it is used: long enough for
+// fronts to run requests that are not idempotent.
+const settleTime = 15 * time.Second
 
 // callerLife is how long callers keep the list of entry VMs.
 const callerLife = 10 * time.Second
