--- a/internal/driftnode/node.go
+++ b/internal/driftnode/node.go
@@ -45,6 +45,8 @@
 	Checker   *driftcheck.Checker
 	// Life is how long callers may keep the list of entry VMs.
 	Life time.Duration
+	// FrontOptions change the policies of the front.
+	FrontOptions []driftfront.Option
 }
 
 // Node is one VM of the system without its sockets.
@@ -63,9 +65,12 @@
 	n.Control = driftcontrol.New(p.Self, p.Config, p.Lister, p.Transport, p.Events, p.Checker)
 	views := n.Control.Views()
 	handover := driftpeer.NewHandoverClient(views, p.Transport)
-	n.Owner = driftowner.New(views, p.Dialer, handover, n.Control, p.Events, p.Checker)
+	relay := driftpeer.NewRouter(views, nil, p.Transport, n.Control)
+	n.Owner = driftowner.New(
+		views, p.Dialer, handover, n.Control, p.Events, p.Checker, driftowner.WithRelay(relay),
+	)
 	router := driftpeer.NewRouter(views, n.Owner, p.Transport, n.Control)
-	n.Front = driftfront.New(views, router, p.Events, p.Checker)
+	n.Front = driftfront.New(views, router, p.Events, p.Checker, p.FrontOptions...)
 	n.Steer = driftsteer.New(views, p.Life)
 	n.Server = driftpeer.NewServer(
 		p.Self.Name, p.Self.Boot, n.Control, n.Owner, n.Owner, p.Events, n,
@@ -81,6 +86,10 @@
 		n.Owner.Run(ctx)
 		return nil
 	})
+	group.Go(func() error {
+		n.Front.Run(ctx)
+		return nil
+	})
 	return group.Wait()
 }
 
