Demo: expect the stand-ins' rows of the stated version; reservations settle

Cause: the stand-ins now write the index version into each row, and the front holds back reservations for 13 s after a change of layout or marks.

--- a/internal/driftdemo/audit.go
+++ b/internal/driftdemo/audit.go
@@ -46,6 +46,8 @@
 	least    float64
 	times    *hdrhistogram.Histogram
 	requests []string
+	// reasons are those of the refusals.
+	reasons []string
 }
 
 func newAudit(size driftfake.Size, l *ledger, ends time.Time) *audit {
@@ -110,6 +112,7 @@
 	t := a.tally(q.Class)
 	t.queries++
 	t.refused++
+	t.reasons = append(t.reasons, r.Reason)
 	t.requests = append(t.requests, q.Request)
 	if isOnce(q) {
 		a.once = append(a.once, q.Request)
@@ -169,13 +172,27 @@
 	var depots []string
 	for _, row := range answer.Rows {
 		depots = append(depots, row.Depot)
-		if row.Text != q.Text {
-			a.violate(driftcheck.Whole, 1, q.Request+" got a row of another search")
-		}
 	}
 	if !sameDepots(depots, answer.Searched) {
 		a.violate(driftcheck.Whole, 1, q.Request+" has not one row for each searched depot")
 	}
+	a.checkRows(q, answer)
+}
+
+// checkRows asserts that every row was found by this search, in the index
+// version that the answer states.
+func (a *audit) checkRows(q driftapi.Query, answer driftapi.Answer) {
+	for _, row := range answer.Rows {
+		if row.Text == driftfake.RowText(q.Text, answer.Version) {
+			continue
+		}
+		if slices.ContainsFunc(a.versions, func(v uint64) bool { return row.Text == driftfake.RowText(q.Text, v) }) {
+			a.violate(driftcheck.Snapshot, 1, q.Request+" has a row of another version than it states")
+			return
+		}
+		a.violate(driftcheck.Whole, 1, q.Request+" got a row of another search")
+		return
+	}
 }
 
 // checkRead asserts that a stand-in has read each searched depot for this
--- a/internal/driftdemo/demo_test.go
+++ b/internal/driftdemo/demo_test.go
@@ -48,7 +48,7 @@
 	query := driftapi.Query{Request: "q", Class: "depot", Text: "x", Deadline: 1000, Depots: []string{depot}}
 	sound := driftapi.Answer{
 		Request: "q", Version: 1, Complete: true, Searched: []string{depot},
-		Rows: []driftapi.Row{{Depot: depot, Text: "x"}},
+		Rows: []driftapi.Row{{Depot: depot, Text: driftfake.RowText("x", 1)}},
 	}
 	search := driftupstream.Search{Request: "q", Shard: "counter-1", Version: 1, Depots: []string{depot}}
 	cases := []struct {
@@ -59,6 +59,9 @@
 		{"a crossed answer", driftcheck.Whole, func(_ *audit, b *driftapi.Answer) { b.Request = "other" }},
 		{"a missing row", driftcheck.Whole, func(_ *audit, b *driftapi.Answer) { b.Rows = nil }},
 		{"a row of another search", driftcheck.Whole, func(_ *audit, b *driftapi.Answer) { b.Rows[0].Text = "y" }},
+		{"a row of another version", driftcheck.Snapshot, func(a *audit, b *driftapi.Answer) {
+			a.versions, b.Rows[0].Text = []uint64{1, 2}, driftfake.RowText("x", 2)
+		}},
 		{"a depot that is not stated", driftcheck.Coverage, func(_ *audit, b *driftapi.Answer) { b.Searched, b.Rows = nil, nil }},
 		{"a depot that nobody read", driftcheck.Coverage, func(a *audit, _ *driftapi.Answer) { a.ledger = newLedger() }},
 		{"a wrong complete mark", driftcheck.Coverage, func(_ *audit, b *driftapi.Answer) { b.Complete = false }},
--- a/internal/driftdemo/load.go
+++ b/internal/driftdemo/load.go
@@ -23,12 +23,15 @@
 	depots int
 }
 
+// onceDeadline is the deadline of a request that is not idempotent.
+const onceDeadline = time.Second
+
 // works are the classes of work that every caller mixes.
 var works = []work{
 	{class: "counter", every: 100 * time.Millisecond, deadline: time.Second},
 	{class: "fire", every: 130 * time.Millisecond, deadline: 500 * time.Millisecond},
 	{class: "night", every: 370 * time.Millisecond, deadline: 5 * time.Second},
-	{class: "reserve", every: 170 * time.Millisecond, deadline: time.Second, depots: 1},
+	{class: "reserve", every: 170 * time.Millisecond, deadline: onceDeadline, depots: 1},
 	{class: "depot", every: 110 * time.Millisecond, deadline: time.Second, depots: 1},
 }
 
--- a/internal/driftdemo/report.go
+++ b/internal/driftdemo/report.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -21,6 +22,8 @@
 	Violations Violations `json:"violations"`
 	// Seconds is how long the run took.
 	Seconds float64 `json:"seconds"`
+	// Reasons tell why queries were refused, in words.
+	Reasons []string `json:"-"`
 	// Findings are the first violations in words.
 	Findings []string `json:"-"`
 }
@@ -78,10 +81,26 @@
 	r := Report{Violations: a.counts, Seconds: length.Seconds(), Findings: a.findings}
 	for _, t := range a.tallies {
 		r.Classes = append(r.Classes, t.report(a.ledger))
+		r.Reasons = append(r.Reasons, t.countReasons()...)
 	}
 	return r
 }
 
+// countReasons returns each reason of the class's refusals with its number.
+func (t *tally) countReasons() []string {
+	reasons := slices.Sorted(slices.Values(t.reasons))
+	var counted []string
+	for len(reasons) > 0 {
+		end := slices.IndexFunc(reasons, func(r string) bool { return r != reasons[0] })
+		if end < 0 {
+			end = len(reasons)
+		}
+		counted = append(counted, fmt.Sprintf("%s refused: %s %d", t.class, reasons[0], end))
+		reasons = reasons[end:]
+	}
+	return counted
+}
+
 func (t *tally) report(l *ledger) Class {
 	c := Class{
 		Name: t.class, Queries: t.queries, Refused: t.refused, Least: t.least,
@@ -122,6 +141,9 @@
 		fmt.Fprintf(&rest, " %s %d", c.Promise, c.Number)
 	}
 	fmt.Fprintf(&rest, "\n%.1f s\n", r.Seconds)
+	for _, line := range r.Reasons {
+		rest.WriteString(line + "\n")
+	}
 	for _, f := range r.Findings {
 		fmt.Fprintf(&rest, "violated %s\n", f)
 	}
--- a/internal/driftdemo/vm.go
+++ b/internal/driftdemo/vm.go
@@ -9,7 +9,9 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/almonddrift/almonddrift/internal/driftcheck"
 	"github.com/almonddrift/almonddrift/internal/driftdocument"
+	"github.com/almonddrift/almonddrift/internal/driftfront"
 	"github.com/almonddrift/almonddrift/internal/driftplatform"
 	"github.com/almonddrift/almonddrift/internal/driftserve"
 	"github.com/almonddrift/almonddrift/internal/driftsettings"
@@ -21,6 +23,9 @@
 	entryLife = time.Second
 	// listLag is how late the platform shows changes of the VM list.
 	listLag = 500 * time.Millisecond
+	// settleTime is how long VMs may disagree on where a request runs that is
+	// not idempotent, and the longest deadline of one in the demo.
+	settleTime = driftcheck.OutGrace + onceDeadline
 	// readyPoll is the time between two looks at a VM's readiness.
 	readyPoll = 10 * time.Millisecond
 )
@@ -48,7 +53,7 @@
 	p := driftserve.New(driftsettings.Settings{
 		Name: name, Domain: domain, Callers: anyPort, Peers: anyPort, Ops: anyPort,
 		Platform: d.published.address, Life: driftdocument.Duration(entryLife),
-	}, driftserve.WithLogger(d.logger))
+	}, driftserve.WithLogger(d.logger), driftserve.WithFront(driftfront.WithSettle(settleTime)))
 	if err := p.Listen(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/driftserve/process.go
+++ b/internal/driftserve/process.go
@@ -23,6 +23,7 @@
 
 	"github.com/almonddrift/almonddrift/internal/driftcheck"
 	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftfront"
 	"github.com/almonddrift/almonddrift/internal/driftnode"
 	"github.com/almonddrift/almonddrift/internal/driftpeer"
 	"github.com/almonddrift/almonddrift/internal/driftplatform"
@@ -36,6 +37,7 @@
 type Process struct {
 	settings driftsettings.Settings
 	logger   *logrus.Logger
+	front    []driftfront.Option
 	boot     uint64
 	app      *fx.App
 
@@ -54,6 +56,11 @@
 	return func(p *Process) { p.logger = logger }
 }
 
+// WithFront passes options to the front.
+func WithFront(opts ...driftfront.Option) Option {
+	return func(p *Process) { p.front = opts }
+}
+
 // listeners are the sockets of a process, opened before anything is wired so
 // that port 0 works.
 type listeners struct {
@@ -193,6 +200,7 @@
 		},
 		Config: platform, Lister: platform, Transport: transport, Dialer: dialer,
 		Events: events, Checker: checker, Life: time.Duration(p.settings.Life),
+		FrontOptions: p.front,
 	})
 	return p.node
 }
