--- /dev/null
+++ b/internal/driftowner/state.go
@@ -0,0 +1,28 @@
+package driftowner
+
+import "github.com/almonddrift/almonddrift/internal/driftshard"
+
+// Lanes implements driftshard.LaneReporter.
+func (o *Owner) Lanes() []driftshard.LaneState {
+	o.mu.Lock()
+	lanes := make([]*lane, 0, len(o.lanes))
+	for _, l := range o.lanes {
+		lanes = append(lanes, l)
+	}
+	o.mu.Unlock()
+	states := make([]driftshard.LaneState, 0, len(lanes))
+	for _, l := range lanes {
+		states = append(states, l.state())
+	}
+	return states
+}
+
+// state returns what operators may know of the lane.
+func (l *lane) state() driftshard.LaneState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return driftshard.LaneState{
+		Upstream: l.name, Cold: l.limiter.cold(), Flight: len(l.flights), Queue: l.queue.len(),
+		Limit: l.limiter.limit, Conns: l.pool.open, Service: l.service,
+	}
+}
