Events: the attempt id in every dispatch event, and the end of a dispatch

Cause: the time line of a real request linked 'dispatch started' only; refusals and relays carried no attempt id, and no event told a dispatch's end. Change: one line each in the owner; attempts_total counts hedges too. Measured: timeline of one query before: 20 spans of dispatches begun, none ended.

--- a/internal/driftmetric/collector.go
+++ b/internal/driftmetric/collector.go
@@ -87,8 +87,9 @@
 	for _, code := range driftevent.Codes() {
 		out <- counter(descEvents, c.events.Count(code), strconv.Itoa(int(code)), code.Name())
 	}
-	out <- counter(descAttempts, c.events.Count(driftevent.AttemptStarted))
-	out <- counter(descHedges, c.events.Count(driftevent.AttemptHedged))
+	hedges := c.events.Count(driftevent.AttemptHedged)
+	out <- counter(descAttempts, c.events.Count(driftevent.AttemptStarted)+hedges)
+	out <- counter(descHedges, hedges)
 }
 
 func collectView(out chan<- prometheus.Metric, r driftstatus.Report) {
--- a/internal/driftowner/attempt.go
+++ b/internal/driftowner/attempt.go
@@ -221,6 +221,7 @@
 func (l *lane) settle(t *ticket, c *link, reply driftupstream.Reply, now time.Time) (o outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.events.Record(driftevent.DispatchEnded, t.request.Query, l.name, t.request.Attempt)
 	switch reply := reply.(type) {
 	case driftupstream.Answered:
 		o.result = l.answered(t, c, reply, now)
--- a/internal/driftowner/owner.go
+++ b/internal/driftowner/owner.go
@@ -129,7 +129,7 @@
 		result = o.serve(ctx, l, t)
 	}
 	if n, refused := result.(driftshard.NotRun); refused {
-		o.events.Record(driftevent.DispatchRefused, r.Query, r.Upstream, string(n.Reason))
+		o.events.Record(driftevent.DispatchRefused, r.Query, r.Upstream, r.Attempt+" "+string(n.Reason))
 	}
 	return result
 }
@@ -154,10 +154,10 @@
 func (o *Owner) turnAway(ctx context.Context, r driftshard.Request, refusal driftshard.NotRun) driftshard.Result {
 	other := refusal.Reason == driftshard.ReasonOwner && refusal.Owner != ""
 	if !other || r.Relayed || o.relay == nil {
-		o.events.Record(driftevent.DispatchRefused, r.Query, r.Upstream, string(refusal.Reason))
+		o.events.Record(driftevent.DispatchRefused, r.Query, r.Upstream, r.Attempt+" "+string(refusal.Reason))
 		return refusal
 	}
-	o.events.Record(driftevent.RequestRelayed, r.Query, r.Upstream, refusal.Owner)
+	o.events.Record(driftevent.RequestRelayed, r.Query, r.Upstream, r.Attempt+" to "+refusal.Owner)
 	r.Relayed = true
 	return o.relay.Send(ctx, refusal.Owner, r)
 }
