Leave stragglers alone and try them again beside a sound replica

Change: two slow attempts in a row make a straggler; it is tried again every 2 s beside another replica, within the hedge budget. Attempts are not counted slow while requests wait at the upstream.

--- a/internal/driftfront/admission.go
+++ b/internal/driftfront/admission.go
@@ -13,7 +13,7 @@
 	limitLeast = 4.0
 	limitCut   = 0.85
 	limitPause = 50 * time.Millisecond
-	limitCalm  = 2 * time.Second
+	limitCalm  = 500 * time.Millisecond
 	limitGain  = 4.0
 	// limitSlack is how far the limit may grow past what is in use.
 	limitSlack = 2
@@ -97,13 +97,13 @@
 		row.shrink(now)
 		return
 	}
-	if limitSlack*used >= row.limit {
+	if limitSlack*used >= row.limit || row.limit < limitFirst {
 		row.grow(now)
 	}
 }
 
-// grow raises the limit: by one for each query at first and when the last
-// cut is long past, else by limitGain for each round of queries.
+// grow raises the limit: by one for each query at first and limitCalm after
+// the last cut, else by limitGain for each round of queries.
 func (r *classLimit) grow(now time.Time) {
 	if r.cut.IsZero() || now.Sub(r.cut) > limitCalm {
 		r.limit++
--- a/internal/driftfront/attempt.go
+++ b/internal/driftfront/attempt.go
@@ -70,7 +70,7 @@
 // it.
 func (f *Front) send(ctx context.Context, a *attempt, r driftshard.Request) ended {
 	load := f.loads.row(a.upstream)
-	load.started()
+	load.started(a.started)
 	code := driftevent.AttemptStarted
 	if a.hedge {
 		code = driftevent.AttemptHedged
@@ -79,26 +79,27 @@
 	f.events.Record(code, r.Query, a.vm, subject)
 	result := f.sender.Send(ctx, a.vm, r)
 	now := time.Now()
-	f.learn(load, a, r.Class, result, now)
+	f.learn(load, a, r, result, now)
 	f.events.Record(driftevent.AttemptEnded, r.Query, a.vm, subject+" "+resultText(result))
 	return ended{attempt: a, result: result, now: now}
 }
 
 // learn notes what a result tells about the upstream, the VM and the class.
-func (f *Front) learn(load *loadRow, a *attempt, class string, result driftshard.Result, now time.Time) {
+func (f *Front) learn(load *loadRow, a *attempt, q driftshard.Request, result driftshard.Result, now time.Time) {
 	took := now.Sub(a.started)
+	typical := f.loads.typical(q.Service)
 	switch r := result.(type) {
 	case driftshard.Done:
-		load.answered(r.Load, took, now)
-		f.loads.typical.add(took)
-		f.latencies.row(class).add(took, now)
+		load.answered(r.Load, took, typical.get(), now)
+		typical.add(took)
+		f.latencies.row(q.Class).add(took, now)
 		f.learnVersion(a, r.Version, now)
 	case driftshard.NotRun:
 		f.learnRefusal(load, a, r, now)
 	case driftshard.Unknown:
-		load.ended(took, now)
+		load.ended(took, typical.get(), now)
 		if !a.hedge {
-			f.latencies.row(class).exceeded(took, now)
+			f.latencies.row(q.Class).exceeded(took, now)
 		}
 		if r.Reason == driftshard.ReasonSilent {
 			f.loads.avoidVM(a.vm, now)
@@ -118,9 +119,9 @@
 	switch r.Reason {
 	case driftshard.ReasonVersion:
 		f.refusals.refused(a.upstream, a.version, now)
-		load.ended(0, now)
+		load.ended(0, 0, now)
 	case driftshard.ReasonOwner, driftshard.ReasonCanceled:
-		load.ended(0, now)
+		load.ended(0, 0, now)
 	case driftshard.ReasonUnreachable:
 		f.loads.avoidVM(a.vm, now)
 		load.refused(r.Load, r.Retry, now)
--- a/internal/driftfront/choice.go
+++ b/internal/driftfront/choice.go
@@ -40,13 +40,11 @@
 }
 
 // candidates returns the replicas in service that the given filter passes.
-// Avoided ones are left out unless there is no other.
 func (f *Front) candidates(
-	v *drifttable.View, upstreams []string, pass func(string) bool, now time.Time,
+	v *drifttable.View, service string, upstreams []string, pass func(string) bool, now time.Time,
 ) []candidate {
 	found := make([]candidate, 0, len(upstreams))
-	good := 0
-	typical := f.loads.typical.get()
+	typical := f.loads.typical(service).get()
 	for _, u := range upstreams {
 		vm, owned := v.Owner(u)
 		if !owned || v.UpstreamOut(u) || !pass(u) {
@@ -58,20 +56,24 @@
 			c.standing.avoided = c.standing.avoided || f.loads.avoidsVM(vm, now)
 		}
 		found = append(found, c)
-		if !c.standing.avoided {
+	}
+	return found
+}
+
+// favored moves the candidates that are not avoided to the front, and
+// returns them, or all when every one is avoided.
+func favored(all []candidate) []candidate {
+	good := 0
+	for i := range all {
+		if !all[i].standing.avoided {
+			all[i], all[good] = all[good], all[i]
 			good++
 		}
 	}
-	if good == 0 || good == len(found) {
-		return found
-	}
-	kept := found[:0]
-	for _, c := range found {
-		if !c.standing.avoided {
-			kept = append(kept, c)
-		}
+	if good == 0 {
+		return all
 	}
-	return kept
+	return all[:good]
 }
 
 func distance(v *drifttable.View, upstream, owner string) int {
--- a/internal/driftfront/load.go
+++ b/internal/driftfront/load.go
@@ -21,6 +21,14 @@
 	// avoidUpstream is how long an upstream that refused is avoided when it
 	// does not say how long.
 	avoidUpstream = 50 * time.Millisecond
+	// straggles is the number of slow attempts in a row that make an upstream
+	// a straggler, slowFactor how far such an attempt exceeds the typical
+	// time.
+	straggles  = 2
+	slowFactor = 2
+	// probeAge is how long a straggler is left alone before it is tried
+	// beside another replica.
+	probeAge = 2 * time.Second
 	// avoidVM is how long a VM that could not be reached is avoided.
 	avoidVM = 250 * time.Millisecond
 )
@@ -32,11 +40,31 @@
 	rows map[string]*loadRow
 	vms  map[string]time.Time
 
-	typical smoothed
+	typicals map[string]*smoothed
 }
 
 func newLoadTable() *loadTable {
-	return &loadTable{rows: make(map[string]*loadRow), vms: make(map[string]time.Time)}
+	return &loadTable{
+		rows: make(map[string]*loadRow), vms: make(map[string]time.Time),
+		typicals: make(map[string]*smoothed),
+	}
+}
+
+// typical returns the typical time of a shard request of a service.
+func (t *loadTable) typical(service string) *smoothed {
+	t.mu.RLock()
+	s, found := t.typicals[service]
+	t.mu.RUnlock()
+	if found {
+		return s
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, found = t.typicals[service]; !found {
+		s = &smoothed{}
+		t.typicals[service] = s
+	}
+	return s
 }
 
 // row returns the row of an upstream, made at its first use.
@@ -95,20 +123,29 @@
 	timed   time.Time
 	flight  int
 	avoid   time.Time
+	losses  int
+	touched time.Time
 }
 
 // started counts an attempt in flight.
-func (r *loadRow) started() {
+func (r *loadRow) started(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.flight++
+	r.touched = now
 }
 
 // answered notes a reply after the given time.
-func (r *loadRow) answered(l driftshard.Load, took time.Duration, now time.Time) {
+func (r *loadRow) answered(l driftshard.Load, took time.Duration, typical float64, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.flight--
+	switch {
+	case float64(took) <= slowFactor*typical:
+		r.losses = 0
+	case l.Queue == 0:
+		r.losses++
+	}
 	r.load, r.loaded, r.avoid = l, now, time.Time{}
 	sample := float64(took)
 	if r.timed.IsZero() {
@@ -132,21 +169,32 @@
 
 // ended notes an attempt that ended without a reply after the given time,
 // which its latency exceeds.
-func (r *loadRow) ended(took time.Duration, now time.Time) {
+func (r *loadRow) ended(took time.Duration, typical float64, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.flight--
+	if typical > 0 && float64(took) > slowFactor*typical && !r.queued(now) {
+		r.losses++
+	}
 	if float64(took) > r.latency {
 		r.latency = float64(took)
 		r.timed = now
 	}
 }
 
+// queued reports whether requests waited at the upstream a short while ago.
+// The caller holds the lock.
+func (r *loadRow) queued(now time.Time) bool {
+	return r.load.Queue > 0 && now.Sub(r.loaded) < loadLife
+}
+
 // standing is what a choice needs to know of an upstream.
 type standing struct {
 	score   float64
 	avoided bool
 	queued  bool
+	// probed is set for a straggler that it is time to try again.
+	probed bool
 }
 
 // standing returns the expected time of a new request at the upstream, in
@@ -159,14 +207,18 @@
 		age := now.Sub(r.timed).Seconds() / latencyHalf.Seconds()
 		latency += (r.latency - typical) * math.Exp2(-age)
 	}
-	s := standing{avoided: now.Before(r.avoid)}
+	straggler := r.losses >= straggles
+	s := standing{
+		avoided: straggler || now.Before(r.avoid),
+		probed:  straggler && now.Sub(r.touched) >= probeAge && !now.Before(r.avoid),
+	}
 	busy, limit := float64(r.flight), 1.0
 	if r.load.Limit > 0 {
 		limit = float64(r.load.Limit)
 	}
 	if now.Sub(r.loaded) < loadLife {
 		busy += float64(r.load.Queue)
-		s.queued = r.load.Queue > 0
+		s.queued = r.queued(now)
 		s.avoided = s.avoided || r.load.Cold
 	}
 	s.score = latency * (1 + busy/limit)
--- /dev/null
+++ b/internal/driftfront/measure_test.go
@@ -0,0 +1,236 @@
+package driftfront_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+	"github.com/almonddrift/almonddrift/internal/driftfront"
+	"github.com/almonddrift/almonddrift/internal/driftpeer"
+	"github.com/almonddrift/almonddrift/internal/driftshard"
+	"github.com/almonddrift/almonddrift/internal/drifttest"
+	"github.com/almonddrift/almonddrift/pkg/driftapi"
+)
+
+// users are the sizes of both users.
+var users = []driftfake.Size{driftfake.Oshana(), driftfake.Tacada()}
+
+// baseline is the policy that others are compared with.
+var baseline = []driftfront.Option{
+	driftfront.WithChoice(driftfront.Random{}), driftfront.WithHedging(false),
+}
+
+// measured is what a run of queries gave.
+type measured struct {
+	times    []float64
+	coverage float64
+	answered int
+	refused  int
+	useful   int
+	extra    float64
+	slowest  float64
+}
+
+// percentile returns the time in milliseconds that the share of queries did
+// not exceed.
+func (m measured) percentile(share float64) float64 {
+	return m.times[min(len(m.times)-1, int(share*float64(len(m.times))))]
+}
+
+func (m measured) String() string {
+	return fmt.Sprintf("p50 %.1f ms, p99 %.1f ms, coverage %.4f, answered %d, refused %d, extra load %.1f%%",
+		m.percentile(0.5), m.percentile(0.99), m.coverage, m.answered, m.refused, 100*m.extra)
+}
+
+// load is an open stream of queries to all VMs of a fleet.
+type load struct {
+	class    string
+	rate     int // queries a second
+	time     time.Duration
+	deadline int64
+	seed     uint64
+	record   func(started time.Time, o driftfront.Outcome, took time.Duration)
+}
+
+// fronts is a fleet whose fronts have the policy of a test.
+type fronts struct {
+	*drifttest.Fleet
+	fronts []*driftfront.Front
+}
+
+func newFronts(t *testing.T, size driftfake.Size, opts ...driftfront.Option) *fronts {
+	t.Helper()
+	f := &fronts{Fleet: drifttest.NewFleet(t, size)}
+	for i := range len(f.Nodes) {
+		n := f.Nodes[fmt.Sprintf("vm-%d", i+1)]
+		router := driftpeer.NewRouter(n.Views(), n.Owner, n.Transport, n.Control)
+		front := driftfront.New(n.Views(), router, n.Events, n.Checker,
+			append([]driftfront.Option{driftfront.WithSeed(uint64(i + 1))}, opts...)...)
+		go front.Run(t.Context())
+		f.fronts = append(f.fronts, front)
+	}
+	return f
+}
+
+// requests returns how many requests all upstreams have received.
+func (f *fronts) requests() (total int) {
+	for _, u := range f.Upstreams {
+		total += u.Counts().Requests
+	}
+	return total
+}
+
+// run sends the load and waits for all outcomes.
+func (f *fronts) run(t *testing.T, l load) (m measured) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(l.seed, l.seed))
+	before := f.requests()
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	queries := 0
+	for end := time.Now().Add(l.time); time.Now().Before(end); queries++ {
+		front := f.fronts[random.IntN(len(f.fronts))]
+		q := driftapi.Query{
+			Request: fmt.Sprintf("%s-%d-%d", l.class, l.seed, queries), Class: l.class, Deadline: l.deadline,
+		}
+		group.Go(func() {
+			started := time.Now()
+			o := front.Query(context.Background(), q)
+			took := time.Since(started)
+			mu.Lock()
+			defer mu.Unlock()
+			m.add(o, took)
+			if l.record != nil {
+				l.record(started, o, took)
+			}
+		})
+		time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(l.rate)))
+	}
+	group.Wait()
+	slices.Sort(m.times)
+	m.coverage /= float64(max(1, m.answered))
+	m.extra = float64(f.requests()-before)/float64(queries*f.Size.Shards) - 1
+	return m
+}
+
+func (m *measured) add(o driftfront.Outcome, took time.Duration) {
+	milliseconds := float64(took) / float64(time.Millisecond)
+	answered, ok := o.(driftfront.Answered)
+	if !ok {
+		m.refused++
+		m.slowest = max(m.slowest, milliseconds)
+		return
+	}
+	m.answered++
+	m.times = append(m.times, milliseconds)
+	m.coverage += answered.Answer.Coverage()
+	if answered.Answer.Complete {
+		m.useful++
+	}
+}
+
+// TestStragglers compares runs with one upstream in 30 ten times slower with
+// runs without, and with the baseline. The bounds are the project's aims.
+func TestStragglers(t *testing.T) {
+	for _, size := range users {
+		t.Run(size.Service, func(t *testing.T) {
+			run := func(slow bool, opts ...driftfront.Option) (m measured) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFronts(t, size, opts...)
+					f.run(t, load{class: "counter", rate: 400, time: 2 * time.Second, deadline: 500, seed: 1})
+					if slow {
+						f.Upstreams[0].SetSlow(10)
+					}
+					m = f.run(t, load{class: "counter", rate: 400, time: 10 * time.Second, deadline: 500, seed: 2})
+				})
+				return m
+			}
+			steady, slow, other := run(false), run(true), run(true, baseline...)
+			t.Logf("steady:   %s", steady)
+			t.Logf("slow:     %s", slow)
+			t.Logf("baseline: %s", other)
+			assert.LessOrEqual(t, slow.percentile(0.99), 1.3*steady.percentile(0.99))
+			assert.LessOrEqual(t, slow.percentile(0.99), 0.5*other.percentile(0.99))
+			assert.LessOrEqual(t, slow.extra, 0.05)
+		})
+	}
+}
+
+// crowd is a fleet small enough to be overloaded in a test: 500 queries a
+// second are its capacity.
+var crowd = driftfake.Size{
+	Service: "counter", Domains: []string{"Ondangwa", "Oshakati", "Ongwediva"}, Shards: 4, Depots: 2,
+	Slots: 2, Connections: 35, Opening: 6 * time.Millisecond, Time: 12 * time.Millisecond,
+}
+
+// capacity is the number of queries a second that crowd can answer.
+const capacity = 500
+
+// Aims for the overload of the tier.
+const (
+	refusalAim  = 5 * time.Millisecond
+	recoveryAim = 2 * time.Second
+)
+
+// TestOverload sends three times the capacity, then half of it.
+func TestOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const calm = 10 * time.Second
+		f := newFronts(t, crowd)
+		f.run(t, load{class: "counter", rate: capacity / 2, time: 5 * time.Second, deadline: 500, seed: 1})
+		heavy := f.run(t, load{class: "counter", rate: 3 * capacity, time: time.Minute, deadline: 500, seed: 2})
+		t.Logf("overload: useful %d, slowest refusal %.1f ms, %s", heavy.useful, heavy.slowest, heavy)
+		var bad time.Duration
+		started := time.Now()
+		m := f.run(t, load{
+			class: "counter", rate: capacity / 2, time: calm, deadline: 500, seed: 3,
+			record: func(at time.Time, o driftfront.Outcome, _ time.Duration) {
+				if a, ok := o.(driftfront.Answered); !ok || !a.Answer.Complete {
+					bad = max(bad, at.Sub(started))
+				}
+			},
+		})
+		t.Logf("after: last bad %s, %s", bad, m)
+		assert.GreaterOrEqual(t, float64(heavy.useful), 0.9*capacity*time.Minute.Seconds())
+		assert.LessOrEqual(t, heavy.slowest, float64(refusalAim)/float64(time.Millisecond))
+		assert.Less(t, bad, recoveryAim)
+	})
+}
+
+// TestUrgent fills the fleet with night reports and asks for the fire desk.
+func TestUrgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFronts(t, crowd)
+		var group sync.WaitGroup
+		group.Go(func() {
+			f.run(t, load{class: "night", rate: 3 * capacity, time: 10 * time.Second, deadline: 10_000, seed: 1})
+		})
+		time.Sleep(2 * time.Second)
+		fire := f.run(t, load{class: "fire", rate: 20, time: 5 * time.Second, deadline: 500, seed: 2})
+		t.Logf("fire: %s", fire)
+		assert.Zero(t, fire.refused)
+		group.Wait()
+	})
+}
+
+// BenchmarkQuery measures the front alone: four shards, replies at once.
+func BenchmarkQuery(b *testing.B) {
+	s := newScript(view(1))
+	s.reply = func(_ context.Context, _ string, r driftshard.Request) driftshard.Result { return done(r) }
+	s.quiet = true
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := s.query("counter").(driftfront.Answered); !ok {
+			b.Fatal("refused")
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*shardCount), "ns/shard")
+}
--- a/internal/driftfront/option.go
+++ b/internal/driftfront/option.go
@@ -42,7 +42,7 @@
 	return func(s *settings) { s.fresh = age }
 }
 
-// WithHedging turns the second attempts at stragglers on or off.
+// WithHedging turns the attempts beside one that is late on or off.
 func WithHedging(on bool) Option {
 	return func(s *settings) { s.hedging = on }
 }
--- a/internal/driftfront/script_test.go
+++ b/internal/driftfront/script_test.go
@@ -35,6 +35,9 @@
 	checker *driftcheck.Checker
 	reply   func(ctx context.Context, vm string, r driftshard.Request) driftshard.Result
 
+	// quiet is set to keep no record of what was sent.
+	quiet bool
+
 	mu   sync.Mutex
 	sent []sending
 }
@@ -60,6 +63,9 @@
 
 // Send implements driftshard.Sender.
 func (s *script) Send(ctx context.Context, vm string, r driftshard.Request) driftshard.Result {
+	if s.quiet {
+		return s.reply(ctx, vm, r)
+	}
 	s.mu.Lock()
 	s.sent = append(s.sent, sending{vm, r})
 	s.mu.Unlock()
--- a/internal/driftfront/search_test.go
+++ b/internal/driftfront/search_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -264,3 +265,28 @@
 		})
 	})
 }
+
+func TestAdmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScript(view(1), driftfront.WithQueries(8))
+		s.stall("s-1", "s-2", "s-3", "s-4")
+		var admitted sync.WaitGroup
+		ask := func(class string) {
+			admitted.Go(func() { s.query(class) })
+			synctest.Wait()
+		}
+		for range 8 {
+			ask("night")
+		}
+		assert.Len(t, s.sendings(), 5*shardCount, "reports fill half of the VM")
+		for range 3 {
+			ask("counter")
+		}
+		assert.Len(t, s.sendings(), 8*shardCount, "an urgent class may fill it")
+		started := time.Now()
+		assertRefused(t, s.query("counter"), driftapi.RanNo, driftshard.ReasonFull)
+		assert.Zero(t, time.Since(started))
+		admitted.Wait()
+		assertKept(t, s)
+	})
+}
--- a/internal/driftfront/task.go
+++ b/internal/driftfront/task.go
@@ -79,7 +79,7 @@
 	case light:
 		return f.redirects.take()
 	case hedged:
-		return f.settings.hedging && f.hedges.take()
+		return f.hedges.take()
 	case heavy:
 	}
 	return f.retries.take()
@@ -102,11 +102,11 @@
 func (s *search) try(ctx context.Context, i int, now time.Time) bool {
 	t := &s.tasks[i]
 	v := s.front.views.Load()
-	if t.attempts >= maxAttempts || float64(s.call.deadline.Sub(now)) < s.front.loads.typical.get()/2 {
+	if t.attempts >= maxAttempts || float64(s.call.deadline.Sub(now)) < s.front.loads.typical(s.call.class.Service).get()/2 {
 		t.due = s.call.deadline
 		return false
 	}
-	c, found := s.pick(v, t, now)
+	c, probe, found := s.pick(v, t, now)
 	if !found {
 		s.exhaust(i, v, now)
 		return false
@@ -116,25 +116,41 @@
 		return false
 	}
 	s.start(ctx, i, c, false, now)
+	if probe.upstream != "" && s.front.settings.hedging && s.front.pay(hedged) {
+		s.start(ctx, i, probe, true, now)
+	}
 	t.due = now.Add(s.delay)
 	return true
 }
 
 // pick returns the replica for the next attempt: the one that a refusal
-// named, else one not yet tried, else one not yet tried over a relay.
-func (s *search) pick(v *drifttable.View, t *task, now time.Time) (c candidate, found bool) {
+// named, else one not yet tried, else one not yet tried over a relay. The
+// probe is a straggler to try beside it, if it is time for that.
+func (s *search) pick(v *drifttable.View, t *task, now time.Time) (c, probe candidate, found bool) {
 	if t.next.vm != "" {
 		c = candidate{upstream: t.next.upstream, vm: t.next.vm}
 		t.next = redirect{}
-		return c, true
+		return c, probe, true
+	}
+	all := s.candidates(v, t, now)
+	if len(all) == 0 {
+		c, found = s.relay(v, t, now)
+		return c, probe, found
 	}
-	candidates := s.front.candidates(v, t.part.shard.Upstreams, func(u string) bool {
+	good := favored(all)
+	for _, straggler := range all[len(good):] {
+		if straggler.standing.probed {
+			probe = straggler
+		}
+	}
+	return s.front.choose(good), probe, true
+}
+
+// candidates returns the replicas of a shard that were not yet tried.
+func (s *search) candidates(v *drifttable.View, t *task, now time.Time) []candidate {
+	return s.front.candidates(v, s.call.class.Service, t.part.shard.Upstreams, func(u string) bool {
 		return !slices.Contains(t.tried, u) && !s.refuses(u, now)
 	}, now)
-	if len(candidates) > 0 {
-		return s.front.choose(candidates), true
-	}
-	return s.relay(v, t, now)
 }
 
 func (s *search) refuses(upstream string, now time.Time) bool {
@@ -215,13 +231,11 @@
 func (s *search) support(ctx context.Context, i int, now time.Time) bool {
 	t := &s.tasks[i]
 	t.due = now.Add(s.delay * silentFactor)
-	if len(t.live) >= maxLive {
+	if len(t.live) >= maxLive || !s.front.settings.hedging {
 		return false
 	}
 	v := s.front.views.Load()
-	candidates := s.front.candidates(v, t.part.shard.Upstreams, func(u string) bool {
-		return !slices.Contains(t.tried, u) && !s.refuses(u, now)
-	}, now)
+	candidates := s.candidates(v, t, now)
 	silent := now.Sub(t.live[len(t.live)-1].started) >= s.delay*silentFactor
 	candidates = slices.DeleteFunc(candidates, func(c candidate) bool {
 		return c.standing.avoided || c.standing.queued && !silent
