--- a/internal/driftnode/node.go
+++ b/internal/driftnode/node.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -26,6 +27,8 @@
 	"github.com/almonddrift/almonddrift/internal/driftowner"
 	"github.com/almonddrift/almonddrift/internal/driftpeer"
 	"github.com/almonddrift/almonddrift/internal/driftplatform"
+	"github.com/almonddrift/almonddrift/internal/driftshard"
+	"github.com/almonddrift/almonddrift/internal/driftstatus"
 	"github.com/almonddrift/almonddrift/internal/driftsteer"
 	"github.com/almonddrift/almonddrift/internal/drifttable"
 	"github.com/almonddrift/almonddrift/internal/driftupstream"
@@ -62,7 +65,10 @@
 	n.Control = driftcontrol.New(p.Self, p.Config, p.Lister, p.Transport, p.Events, p.Checker)
 	views := n.Control.Views()
 	handover := driftpeer.NewHandoverClient(views, p.Transport)
-	n.Owner = driftowner.New(views, p.Dialer, handover, n.Control, p.Events, p.Checker)
+	relay := driftpeer.NewRouter(views, nil, p.Transport, n.Control)
+	n.Owner = driftowner.New(
+		views, p.Dialer, handover, n.Control, p.Events, p.Checker, driftowner.WithRelay(relay),
+	)
 	router := driftpeer.NewRouter(views, n.Owner, p.Transport, n.Control)
 	n.Front = driftfront.New(views, router, p.Events, p.Checker, p.FrontOptions...)
 	n.Steer = driftsteer.New(views, p.Life)
@@ -92,7 +98,23 @@
 	return n.Control.Views()
 }
 
+// Status returns what this VM sees.
+func (n *Node) Status() driftstatus.Report {
+	s := driftstatus.Sources{
+		View: n.Views().Load(), Boot: n.Self.Boot, Config: -time.Millisecond,
+		Violations: n.Checker.Violations(),
+	}
+	if r, ok := any(n.Owner).(driftshard.LaneReporter); ok {
+		s.Lanes = r.Lanes()
+	}
+	return driftstatus.NewReport(s, time.Now())
+}
+
 // Report implements driftpeer.Reporter.
 func (n *Node) Report() []byte {
-	return []byte("{}")
+	body, err := json.Marshal(n.Status())
+	if err != nil {
+		return []byte("{}")
+	}
+	return body
 }
--- a/internal/driftserve/process.go
+++ b/internal/driftserve/process.go
@@ -16,6 +16,7 @@
 
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -26,6 +27,7 @@
 	"github.com/almonddrift/almonddrift/internal/driftpeer"
 	"github.com/almonddrift/almonddrift/internal/driftplatform"
 	"github.com/almonddrift/almonddrift/internal/driftsettings"
+	"github.com/almonddrift/almonddrift/internal/driftstatus"
 	"github.com/almonddrift/almonddrift/internal/drifttable"
 	"github.com/almonddrift/almonddrift/internal/driftupstream"
 )
@@ -72,6 +74,9 @@
 	if p.logger == nil {
 		p.logger = logrus.New()
 		p.logger.SetFormatter(&logrus.JSONFormatter{})
+		if level, err := logrus.ParseLevel(settings.Log); err == nil {
+			p.logger.SetLevel(level)
+		}
 	}
 	return p
 }
@@ -135,8 +140,17 @@
 	return p.checker
 }
 
+// Report returns what the VM sees.
+func (p *Process) Report() driftstatus.Report {
+	return p.node.Status()
+}
+
 func newRegistry() *prometheus.Registry {
-	return prometheus.NewRegistry()
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return registry
 }
 
 func newEvents(p *Process) *driftevent.Log {
