Cut the front's allocations and the polling of starved retries

Change: pauses double up to the latency target; slices are shared by the shards of a query; one string for the events of an attempt.

--- a/internal/driftfront/attempt.go
+++ b/internal/driftfront/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +67,9 @@
 	}
 }
 
+// detailDone ends the detail of the event of an attempt that was answered.
+const detailDone = " done"
+
 // send sends the request of an attempt, waits for its result and learns from
 // it.
 func (f *Front) send(ctx context.Context, a *attempt, r driftshard.Request) ended {
@@ -75,12 +79,15 @@
 	if a.hedge {
 		code = driftevent.AttemptHedged
 	}
-	subject := a.id + " " + a.upstream
-	f.events.Record(code, r.Query, a.vm, subject)
+	detail := a.id + " " + a.upstream + detailDone
+	f.events.Record(code, r.Query, a.vm, strings.TrimSuffix(detail, detailDone))
 	result := f.sender.Send(ctx, a.vm, r)
 	now := time.Now()
 	f.learn(load, a, r, result, now)
-	f.events.Record(driftevent.AttemptEnded, r.Query, a.vm, subject+" "+resultText(result))
+	if _, done := result.(driftshard.Done); !done {
+		detail = strings.TrimSuffix(detail, detailDone) + " " + resultText(result)
+	}
+	f.events.Record(driftevent.AttemptEnded, r.Query, a.vm, detail)
 	return ended{attempt: a, result: result, now: now}
 }
 
--- a/internal/driftfront/choice.go
+++ b/internal/driftfront/choice.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,15 +40,14 @@
 	distance int
 }
 
-// candidates returns the replicas in service that the given filter passes.
-func (f *Front) candidates(
-	v *drifttable.View, service string, upstreams []string, pass func(string) bool, now time.Time,
-) []candidate {
-	found := make([]candidate, 0, len(upstreams))
-	typical := f.loads.typical(service).get()
-	for _, u := range upstreams {
+// candidates appends to the slice the replicas of a shard that are in
+// service, were not yet tried and have not refused the pinned version.
+func (s *search) candidates(found []candidate, v *drifttable.View, t *task, now time.Time) []candidate {
+	f := s.front
+	typical := f.loads.typical(s.call.class.Service).get()
+	for _, u := range t.part.shard.Upstreams {
 		vm, owned := v.Owner(u)
-		if !owned || v.UpstreamOut(u) || !pass(u) {
+		if !owned || v.UpstreamOut(u) || slices.Contains(t.tried, u) || s.refuses(u, now) {
 			continue
 		}
 		c := candidate{upstream: u, vm: vm, distance: distance(v, u, vm)}
--- a/internal/driftfront/gather.go
+++ b/internal/driftfront/gather.go
@@ -15,15 +15,16 @@
 	request string
 	plan    plan
 	rows    []driftapi.Row
-	// merged are the depots of the merged replies, replied the parts.
-	merged  []string
-	replied []bool
+	// replies holds, for each part, the depots of its merged reply, and
+	// merged is how many those are.
+	replies [][]string
+	merged  int
 	// reasons holds, for each part, why it is missing.
 	reasons []driftshard.Reason
 }
 
 func newGather(checker *driftcheck.Checker, request string, p plan) *gather {
-	return &gather{checker: checker, request: request, plan: p, replied: make([]bool, len(p.parts))}
+	return &gather{checker: checker, request: request, plan: p, replies: make([][]string, len(p.parts))}
 }
 
 // check returns why a reply may not be merged, or "" if it may.
@@ -71,12 +72,12 @@
 func (g *gather) merge(a *attempt, d driftshard.Done) {
 	g.checker.OneSnapshot(g.request, g.plan.version.Number, d.Version)
 	g.checker.OwnWhole(g.request, a.id, d.Attempt, len(d.Rows), d.Count)
-	g.replied[a.task] = true
+	g.replies[a.task] = d.Depots
+	g.merged += len(d.Depots)
 	g.rows = slices.Grow(g.rows, len(d.Rows))
 	for _, row := range d.Rows {
 		g.rows = append(g.rows, driftapi.Row(row))
 	}
-	g.merged = append(g.merged, d.Depots...)
 }
 
 // coverage returns the share of the asked depots that is merged.
@@ -84,7 +85,7 @@
 	if g.plan.asked == 0 {
 		return 1
 	}
-	return float64(len(g.merged)) / float64(g.plan.asked)
+	return float64(g.merged) / float64(g.plan.asked)
 }
 
 // answer states what was searched and what is missing.
@@ -94,10 +95,10 @@
 		Searched: make([]string, 0, g.plan.asked), Missing: []driftapi.Missing{},
 	}
 	asked := make([]string, 0, g.plan.asked)
-	missing := make([]string, 0, g.plan.asked-len(g.merged))
+	missing := make([]string, 0, g.plan.asked-g.merged)
 	for i, t := range g.plan.parts {
 		asked = append(asked, t.depots...)
-		if g.replied[i] {
+		if g.replies[i] != nil {
 			a.Searched = append(a.Searched, t.depots...)
 			continue
 		}
@@ -108,7 +109,7 @@
 	missing = append(missing, g.plan.unpublished...)
 	a.Missing = appendMissing(a.Missing, g.plan.unpublished, driftshard.ReasonUnpublished)
 	a.Complete = len(a.Missing) == 0
-	g.checker.TrueCoverage(a.Request, asked, a.Searched, missing, g.merged)
+	g.checker.TrueCoverage(a.Request, asked, a.Searched, missing, slices.Concat(g.replies...))
 	return a
 }
 
--- a/internal/driftfront/measure_test.go
+++ b/internal/driftfront/measure_test.go
@@ -46,6 +46,9 @@
 }
 
 func (m measured) String() string {
+	if len(m.times) == 0 {
+		return fmt.Sprintf("all %d refused", m.refused)
+	}
 	return fmt.Sprintf("p50 %.1f ms, p99 %.1f ms, coverage %.4f, answered %d, refused %d, extra load %.1f%%",
 		m.percentile(0.5), m.percentile(0.99), m.coverage, m.answered, m.refused, 100*m.extra)
 }
@@ -224,11 +227,14 @@
 // BenchmarkQuery measures the front alone: four shards, replies at once.
 func BenchmarkQuery(b *testing.B) {
 	s := newScript(view(1))
-	s.reply = func(_ context.Context, _ string, r driftshard.Request) driftshard.Result { return done(r) }
 	s.quiet = true
+	s.reply = func(_ context.Context, _ string, r driftshard.Request) driftshard.Result {
+		return driftshard.Done{Attempt: r.Attempt, Version: r.Version, Depots: r.Depots}
+	}
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, ok := s.query("counter").(driftfront.Answered); !ok {
+		q := driftapi.Query{Request: "q-1", Class: "counter", Text: "church", Deadline: 500}
+		if _, ok := s.front.Query(b.Context(), q).(driftfront.Answered); !ok {
 			b.Fatal("refused")
 		}
 	}
--- a/internal/driftfront/once.go
+++ b/internal/driftfront/once.go
@@ -215,7 +215,7 @@
 // again reports whether another attempt makes sense after a refusal, once
 // the wait that it takes is over.
 func (h *homing) again(ctx context.Context, c candidate, r driftshard.NotRun) bool {
-	wait := max(r.Retry, min(backoffLast, backoffFirst<<min(h.rounds, 5)))
+	wait := max(r.Retry, backoff(h.rounds))
 	switch r.Reason {
 	case driftshard.ReasonVersion:
 		p, _ := h.plan(h.service())
--- a/internal/driftfront/search.go
+++ b/internal/driftfront/search.go
@@ -32,6 +32,7 @@
 	results chan ended
 	best    *gather
 	explain explanation
+	buffer  []candidate
 }
 
 func newSearch(f *Front, c call) *search {
@@ -85,8 +86,14 @@
 		s.results = make(chan ended, len(p.parts))
 	}
 	first := 0
+	tried := make([]string, len(p.parts)*maxLive)
+	live := make([]*attempt, len(p.parts)*maxLive)
 	for i := range s.tasks {
-		s.tasks[i] = task{part: p.parts[i], reason: driftshard.ReasonLate}
+		from, to := i*maxLive, (i+1)*maxLive
+		s.tasks[i] = task{
+			part: p.parts[i], reason: driftshard.ReasonLate,
+			tried: tried[from:from:to], live: live[from:from:to],
+		}
 		if s.advance(ctx, i, now) {
 			first++
 		}
@@ -282,7 +289,7 @@
 // finish returns the answer, or a refusal if no shard was searched.
 func (s *search) finish(now time.Time) Outcome {
 	s.abandon()
-	if len(s.best.merged) > 0 || len(s.best.plan.parts) == 0 {
+	if s.best.merged > 0 || len(s.best.plan.parts) == 0 {
 		a := s.best.answer()
 		a.Time = milliseconds(now.Sub(s.call.started))
 		a.Attempts = s.explain.attempts
--- a/internal/driftfront/task.go
+++ b/internal/driftfront/task.go
@@ -15,7 +15,8 @@
 	maxAttempts  = 64
 	silentFactor = 4
 	backoffFirst = 5 * time.Millisecond
-	backoffLast  = 80 * time.Millisecond
+	// backoffDoublings is how often the pause between attempts doubles.
+	backoffDoublings = 6
 )
 
 // taskState is the state of one shard of a search.
@@ -43,6 +44,7 @@
 	last     cost
 	attempts int
 	rounds   int
+	denials  int
 	took     time.Duration
 	// loaded is set once an upstream refused under load.
 	loaded bool
@@ -106,15 +108,16 @@
 		t.due = s.call.deadline
 		return false
 	}
+	if !s.front.pay(t.last) {
+		t.denials++
+		t.due = now.Add(s.backoff(t))
+		return false
+	}
 	c, probe, found := s.pick(v, t, now)
 	if !found {
 		s.exhaust(i, v, now)
 		return false
 	}
-	if !s.front.pay(t.last) {
-		t.due = now.Add(t.backoff())
-		return false
-	}
 	s.start(ctx, i, c, false, now)
 	if probe.upstream != "" && s.front.settings.hedging && s.front.pay(hedged) {
 		s.start(ctx, i, probe, true, now)
@@ -132,7 +135,8 @@
 		t.next = redirect{}
 		return c, probe, true
 	}
-	all := s.candidates(v, t, now)
+	s.buffer = s.candidates(s.buffer[:0], v, t, now)
+	all := s.buffer
 	if len(all) == 0 {
 		c, found = s.relay(v, t, now)
 		return c, probe, found
@@ -146,13 +150,6 @@
 	return s.front.choose(good), probe, true
 }
 
-// candidates returns the replicas of a shard that were not yet tried.
-func (s *search) candidates(v *drifttable.View, t *task, now time.Time) []candidate {
-	return s.front.candidates(v, s.call.class.Service, t.part.shard.Upstreams, func(u string) bool {
-		return !slices.Contains(t.tried, u) && !s.refuses(u, now)
-	}, now)
-}
-
 func (s *search) refuses(upstream string, now time.Time) bool {
 	return s.front.refusals.refuses(upstream, s.gather.plan.version.Number, s.since, now)
 }
@@ -189,7 +186,7 @@
 	t.rounds++
 	t.tried, t.relays = t.tried[:0], t.relays[:0]
 	t.last = max(t.last, light)
-	t.due = now.Add(t.backoff())
+	t.due = now.Add(s.backoff(t))
 }
 
 // closed returns why no replica of a shard can serve it, or "" if one can.
@@ -221,9 +218,16 @@
 	return driftshard.ReasonOut
 }
 
-// backoff returns the pause before the next round at a shard.
-func (t *task) backoff() time.Duration {
-	return min(backoffLast, backoffFirst<<min(t.rounds, 5))
+// backoff returns the pause before the next round at a shard, no longer than
+// the latency target.
+func (s *search) backoff(t *task) time.Duration {
+	return min(s.call.class.Fast, backoff(t.rounds+t.denials))
+}
+
+// backoff returns the pause before an attempt after the given number of
+// attempts in vain.
+func backoff(vain int) time.Duration {
+	return backoffFirst << min(vain, backoffDoublings)
 }
 
 // support starts another attempt beside one that is late: first a hedge,
@@ -235,9 +239,9 @@
 		return false
 	}
 	v := s.front.views.Load()
-	candidates := s.candidates(v, t, now)
+	s.buffer = s.candidates(s.buffer[:0], v, t, now)
 	silent := now.Sub(t.live[len(t.live)-1].started) >= s.delay*silentFactor
-	candidates = slices.DeleteFunc(candidates, func(c candidate) bool {
+	candidates := slices.DeleteFunc(s.buffer, func(c candidate) bool {
 		return c.standing.avoided || c.standing.queued && !silent
 	})
 	if len(candidates) == 0 || !s.front.pay(supportCost(silent)) {
