--- a/internal/driftfront/measure_test.go
+++ b/internal/driftfront/measure_test.go
@@ -170,7 +170,7 @@
 // crowd is a fleet small enough to be overloaded in a test: 500 queries a
 // second are its capacity.
 var crowd = driftfake.Size{
-	Service: "counter", Domains: []string{"Ondangwa", "Oshakati", "Ongwediva"}, Shards: 4, Depots: 2,
+	Service: "counter", Domains: []string{"Ondangwa", "Oshakati", "Ongwediva"}, Shards: 4, Replicas: 3, Depots: 2,
 	Slots: 2, Connections: 35, Opening: 6 * time.Millisecond, Time: 12 * time.Millisecond,
 }
 
