Take only a cold run for a sign of being cold

Cause: a reply to a request that ran warm counted as the first sign that the stand-in had turned cold. Change: only requests that began cold count as served cold and as a sign.

--- a/internal/driftfake/upstream.go
+++ b/internal/driftfake/upstream.go
@@ -252,10 +252,11 @@
 	if ctx.Err() != nil {
 		return answer{}
 	}
-	if err := wait(ctx, u.run(s)); err != nil {
+	took, cold := u.run(s)
+	if err := wait(ctx, took); err != nil {
 		return answer{}
 	}
-	return u.finish(s, mode)
+	return u.finish(s, mode, cold)
 }
 
 // arrive counts a request and refuses it if the upstream is leaving, cannot
@@ -295,8 +296,9 @@
 	u.flight--
 }
 
-// run counts an execution and returns how long it takes.
-func (u *Upstream) run(s driftupstream.Search) time.Duration {
+// run counts an execution and returns how long it takes, and whether it runs
+// cold.
+func (u *Upstream) run(s driftupstream.Search) (took time.Duration, cold bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.counts.Runs++
@@ -307,15 +309,17 @@
 	if u.cold {
 		factor *= coldFactor
 	}
-	return time.Duration(float64(u.service) * factor)
+	return time.Duration(float64(u.service) * factor), u.cold
 }
 
 // finish builds the reply of an executed request.
-func (u *Upstream) finish(s driftupstream.Search, mode Mode) answer {
+func (u *Upstream) finish(s driftupstream.Search, mode Mode, cold bool) answer {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.served++
-	u.sign()
+	if cold {
+		u.served++
+		u.sign()
+	}
 	if u.cold && u.served >= u.warmup {
 		u.cold = false
 	}
