Doubt a warm upstream whose idle connection was found closed

Cause: an upstream that restarts resets its idle connections; the owner sent on over new ones at its warm limit before the first slow reply. Change: a pooled connection found closed starts a suspicion: one request in flight until three warm replies.

--- a/internal/driftowner/attempt.go
+++ b/internal/driftowner/attempt.go
@@ -338,14 +338,7 @@
 	}
 	l.pool.close(c)
 	if !f.Sent {
-		if !fresh && !t.detached && now.Before(t.request.Deadline) {
-			l.renew = true
-			return outcome{again: true}
-		}
-		if fresh {
-			l.fail(driftshard.ReasonUnreachable, 0, now)
-		}
-		return outcome{result: driftshard.NotRun{Reason: driftshard.ReasonUnreachable}}
+		return l.unsentOn(t, fresh, now)
 	}
 	l.haunt(t, now)
 	switch {
@@ -365,6 +358,22 @@
 	return outcome{result: driftshard.Unknown{Reason: f.Reason}}
 }
 
+// unsentOn takes an attempt that found its connection closed. A new one that
+// is closed at once tells of the upstream; a pooled one may have been closed
+// by a restart.
+func (l *lane) unsentOn(t *ticket, fresh bool, now time.Time) (o outcome) {
+	if fresh {
+		l.fail(driftshard.ReasonUnreachable, 0, now)
+		return outcome{result: driftshard.NotRun{Reason: driftshard.ReasonUnreachable}}
+	}
+	l.observe(func() { l.limiter.doubt(now) })
+	if !t.detached && now.Before(t.request.Deadline) {
+		l.renew = true
+		return outcome{again: true}
+	}
+	return outcome{result: driftshard.NotRun{Reason: driftshard.ReasonUnreachable}}
+}
+
 // telling reports whether a silence was long enough to mean anything.
 func (l *lane) telling(t *ticket, now time.Time) bool {
 	return now.Sub(t.sent) >= min(silentFloor, max(slowSpread*l.service, lateGrace))
--- a/internal/driftowner/limit.go
+++ b/internal/driftowner/limit.go
@@ -100,6 +100,14 @@
 	l.restart(coldFlight, now)
 }
 
+// doubt suspects a warm upstream whose idle connection was found closed: it
+// may have restarted.
+func (l *limiter) doubt(now time.Time) {
+	if l.phase == warmed {
+		l.suspect(now)
+	}
+}
+
 // rest doubts the warmth of an upstream that has been idle for long.
 func (l *limiter) rest(now time.Time) {
 	if l.phase == warmed && now.Sub(l.replied) > idleTime {
