--- a/internal/drifttest/fault.go
+++ b/internal/drifttest/fault.go
@@ -159,7 +159,8 @@
 	stop()
 }
 
-// Pause holds all that a VM sends and receives until Resume.
+// Pause holds all that a VM sends and receives until Resume, as a pause of
+// its process does.
 func (f *Fleet) Pause(vm string) {
 	f.Network.Gate(vm).Pause()
 }
@@ -181,16 +182,23 @@
 	f.Network.Cut(b, a, cut)
 }
 
+// Split cuts all links between two groups of VMs, or heals them.
+func (f *Fleet) Split(side, other []string, cut bool) {
+	for _, a := range side {
+		for _, b := range other {
+			f.Cut(a, b, cut)
+		}
+	}
+}
+
 // CutDomains drops what the VMs of two failure domains send each other, or
 // lets it pass.
 func (f *Fleet) CutDomains(a, b string, cut bool) {
-	for _, x := range VMs() {
-		for _, y := range VMs() {
-			if f.domains[x] == a && f.domains[y] == b {
-				f.Cut(x, y, cut)
-			}
-		}
-	}
+	f.Split(f.inDomain(a), f.inDomain(b), cut)
+}
+
+func (f *Fleet) inDomain(domain string) []string {
+	return slices.DeleteFunc(VMs(), func(vm string) bool { return f.domains[vm] != domain })
 }
 
 // Heal ends every cut, silence and pause.
--- a/internal/drifttest/fleet.go
+++ b/internal/drifttest/fleet.go
@@ -16,8 +16,10 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,6 +72,7 @@
 	gone    map[string]bool
 	hidden  bool
 	number  int
+	slow    atomic.Int64
 
 	mu     sync.Mutex
 	faults []string
@@ -127,12 +130,16 @@
 }
 
 func (f *Fleet) delay(from, to string) time.Duration {
+	extra := time.Duration(rand.Int64N(f.slow.Load() + 1))
 	if f.domains[from] == f.domains[to] {
-		return nearDelay
+		return nearDelay + extra
 	}
-	return farDelay
+	return farDelay + extra
 }
 
+// Slow delays every message between VMs by up to the given time more.
+func (f *Fleet) Slow(most time.Duration) { f.slow.Store(int64(most)) }
+
 func (f *Fleet) publish() {
 	f.Platform.Put(driftdocument.KeyDomains, f.Size.DomainsDocument())
 	f.Platform.Put(driftdocument.KeyClasses, f.Size.ClassesDocument())
@@ -223,6 +230,9 @@
 	return nil
 }
 
+// Domain returns the failure domain of a VM.
+func (f *Fleet) Domain(vm string) string { return f.domains[vm] }
+
 // Alive reports whether the VM runs.
 func (f *Fleet) Alive(vm string) bool {
 	return f.life(vm).Err() == nil
