--- /dev/null
+++ b/internal/driftbench/measure.go
@@ -0,0 +1,100 @@
+package driftbench
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+	"github.com/almonddrift/almonddrift/internal/drifttest"
+)
+
+// Figures are what one run of a policy in a situation gave.
+type Figures struct {
+	P50, P99 time.Duration
+	// Mean and Least are coverages between 0 and 1.
+	Mean, Least float64
+	// Extra is the load on upstreams beyond one request a shard and query, a
+	// share of it.
+	Extra float64
+	// Cold counts the requests over what a cold upstream bears, Unseen those
+	// before its first sign of being cold. Repeats counts repeated runs.
+	Cold, Unseen, Repeats int
+	// Useful is the number of answers a second, Capacity what the upstreams
+	// can serve. RefusalP99 is how long refusals took.
+	Useful, Capacity float64
+	RefusalP99       time.Duration
+	Refused, Lost    int
+	Faults           []string
+}
+
+// usual is the number of queries a second outside an overload.
+const usual = 200
+
+// warmupTime is how long the load runs before the measurement.
+const warmupTime = 15 * time.Second
+
+// overloadFactor is the load from which a situation counts as an overload:
+// its load is a multiple of the capacity.
+const overloadFactor = 2
+
+// deadline is how long callers wait.
+const deadline = 500 * time.Millisecond
+
+// Measure runs a policy in a situation. A nil policy is the system's own.
+// Call it inside a synctest bubble.
+func Measure(tb testing.TB, size driftfake.Size, s Situation, policy drifttest.Policy, seed uint64) Figures {
+	tb.Helper()
+	opts := []drifttest.Option{drifttest.WithCollect(), drifttest.WithSeed(seed)}
+	if policy != nil {
+		opts = append(opts, drifttest.WithPolicy(policy))
+	}
+	f := drifttest.NewFleet(tb, size, opts...)
+	f.Load(drifttest.Load{Class: "counter", Rate: usual, Time: warmupTime, Deadline: deadline, Seed: 1})
+	rate := usual * s.Factor
+	if s.Factor >= overloadFactor {
+		rate = Capacity(size) * s.Factor
+	}
+	before := total(f)
+	go s.Strike(f)
+	tally := f.Load(drifttest.Load{Class: "counter", Rate: rate, Time: s.Time, Deadline: deadline, Seed: 2})
+	return figures(f, tally, before, s)
+}
+
+// Capacity is the number of whole queries a second that the upstreams can
+// serve.
+func Capacity(size driftfake.Size) float64 {
+	return float64(size.Replicas*size.Slots) / size.Time.Seconds()
+}
+
+func figures(f *drifttest.Fleet, t *drifttest.Tally, before driftfake.Counts, s Situation) Figures {
+	after := total(f)
+	return Figures{
+		P50: t.Quantile(0.5, deadline), P99: t.Quantile(0.99, deadline),
+		Mean: t.Mean(), Least: t.Least(),
+		Extra: float64(after.Requests-before.Requests)/float64(t.Queries*f.Size.Shards) - 1,
+		Cold:  after.ColdOver - before.ColdOver, Unseen: after.ColdUnseen - before.ColdUnseen,
+		Repeats: f.Ledger.Repeats(), Useful: float64(t.Answered) / s.Time.Seconds(),
+		Capacity: Capacity(f.Size), RefusalP99: quantile(t.Refusals, 0.99),
+		Refused: t.Refused, Lost: t.Lost, Faults: f.Faults(),
+	}
+}
+
+func total(f *drifttest.Fleet) driftfake.Counts {
+	var sum driftfake.Counts
+	for _, u := range f.Upstreams {
+		c := u.Counts()
+		sum.Requests += c.Requests
+		sum.ColdOver += c.ColdOver
+		sum.ColdUnseen += c.ColdUnseen
+	}
+	return sum
+}
+
+func quantile(times []time.Duration, share float64) time.Duration {
+	if len(times) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(times))
+	return sorted[min(int(share*float64(len(sorted))), len(sorted)-1)]
+}
--- a/internal/drifttest/caller.go
+++ b/internal/drifttest/caller.go
@@ -101,7 +101,7 @@
 			refusal = r.Refusal
 		}
 	}
-	t.refuse(q.Request, refusal.Reason)
+	t.refuse(q.Request, refusal.Reason, time.Since(started))
 }
 
 // entries returns the VMs that a caller knows, from one that it could reach.
@@ -112,6 +112,9 @@
 		if !f.Alive(vm) || f.Network.Gate(vm).Closed() {
 			continue
 		}
+		if f.policy != nil {
+			return append(slices.Clone(names[(first+i)%len(names):]), names[:(first+i)%len(names)]...)
+		}
 		var known []string
 		for _, e := range f.Node(vm).Steer.Entries(fmt.Sprintf("caller-%d", first), f.domains[vm]).Entries {
 			known = append(known, e.Name)
@@ -128,14 +131,14 @@
 	if life.Err() != nil {
 		return nil, errClosed
 	}
-	node, gate := f.Node(vm), f.Network.Gate(vm)
+	asker, gate := f.asker(vm), f.Network.Gate(vm)
 	limit := time.Duration(q.Deadline)*time.Millisecond + callerSlack
 	waiting, cancel := context.WithTimeout(f.t.Context(), limit)
 	defer cancel()
 	replies := make(chan driftfront.Outcome, 1)
 	go func() {
 		gate.Pass()
-		o := node.Front.Query(life, q)
+		o := asker.Query(life, q)
 		gate.Pass()
 		replies <- o
 	}()
--- a/internal/drifttest/fleet.go
+++ b/internal/drifttest/fleet.go
@@ -61,6 +61,8 @@
 	Nodes     map[string]*driftnode.Node
 
 	t       testing.TB
+	policy  Policy
+	askers  map[string]Asker
 	seed    uint64
 	collect bool
 	domains map[string]string
@@ -88,6 +90,18 @@
 // once.
 func WithCollect() Option { return func(f *Fleet) { f.collect = true } }
 
+// Asker answers the queries of callers at one VM.
+type Asker interface {
+	Query(ctx context.Context, q driftapi.Query) driftfront.Outcome
+}
+
+// Policy makes what answers at a VM in place of a node. It runs until ctx
+// ends.
+type Policy func(ctx context.Context, f *Fleet, vm string) Asker
+
+// WithPolicy puts another policy in place of the nodes.
+func WithPolicy(policy Policy) Option { return func(f *Fleet) { f.policy = policy } }
+
 // NewFleet starts a fleet and lets it settle. The fleet stops with the test.
 func NewFleet(tb testing.TB, size driftfake.Size, opts ...Option) *Fleet {
 	tb.Helper()
@@ -95,7 +109,7 @@
 		Size: size, Platform: driftfake.NewPlatform(), Ledger: driftfake.NewLedger(),
 		Nodes: make(map[string]*driftnode.Node), t: tb, seed: 1,
 		domains: make(map[string]string), cancels: make(map[string]context.CancelFunc),
-		live: make(map[string]context.Context), left: make(map[string]bool), gone: make(map[string]bool),
+		askers: make(map[string]Asker), live: make(map[string]context.Context), left: make(map[string]bool), gone: make(map[string]bool),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -185,8 +199,15 @@
 	})
 	ctx, cancel := context.WithCancel(f.t.Context())
 	f.mu.Lock()
-	f.cancels[vm], f.live[vm], f.Nodes[vm] = cancel, ctx, node
+	f.cancels[vm], f.live[vm], f.Nodes[vm], f.askers[vm] = cancel, ctx, node, node.Front
 	f.mu.Unlock()
+	if f.policy != nil {
+		asker := f.policy(ctx, f, vm)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.askers[vm] = asker
+		return node
+	}
 	f.Network.Join(vm, node.Server)
 	go func() { _ = node.Run(ctx) }()
 	return node
@@ -211,6 +232,13 @@
 	return f.Nodes[vm]
 }
 
+// asker returns what answers the queries at a VM.
+func (f *Fleet) asker(vm string) Asker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.askers[vm]
+}
+
 // life returns the context that ends with the VM.
 func (f *Fleet) life(vm string) context.Context {
 	f.mu.Lock()
--- a/internal/drifttest/tally.go
+++ b/internal/drifttest/tally.go
@@ -15,7 +15,9 @@
 
 	Times     []time.Duration
 	Coverages []float64
-	Reasons   map[string]int
+	// Refusals holds how long each refused query took.
+	Refusals []time.Duration
+	Reasons  map[string]int
 
 	mu         sync.Mutex
 	refusedIDs []string
@@ -33,11 +35,12 @@
 	}
 }
 
-func (t *Tally) refuse(id, reason string) {
+func (t *Tally) refuse(id, reason string, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.Queries++
 	t.Refused++
+	t.Refusals = append(t.Refusals, took)
 	t.Reasons["refused "+reason]++
 	t.refusedIDs = append(t.refusedIDs, id)
 }
