--- a/internal/driftcontrol/control.go
+++ b/internal/driftcontrol/control.go
@@ -16,12 +16,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/almonddrift/almonddrift/internal/driftcheck"
-	"github.com/almonddrift/almonddrift/internal/driftdocument"
 	"github.com/almonddrift/almonddrift/internal/driftevent"
 	"github.com/almonddrift/almonddrift/internal/driftpeer"
 	"github.com/almonddrift/almonddrift/internal/driftplatform"
@@ -40,15 +40,31 @@
 	messages chan message
 	tick     time.Duration
 	listing  time.Duration
+	gate     func(ctx context.Context)
+	random   *rand.Rand
 
 	// The fields below belong to the control goroutine.
-	documents documentTable
-	watched   map[string]context.CancelFunc
-	members   memberTable
-	owners    ownerTable
-	marks     sinceTable
-	number    uint64
-	leaving   bool
+	spawn         func(run func())
+	documents     *documentTable
+	watched       map[string]context.CancelFunc
+	members       *memberTable
+	owners        ownerTable
+	marks         sinceTable
+	partings      *partingTable
+	tables        tableCache
+	homesBefore   homeTable
+	emptySince    map[string]time.Time
+	returned      map[string]time.Time
+	lastEmpty     time.Time
+	contact       time.Time
+	started       time.Time
+	awake         time.Time
+	watchDue      time.Time
+	watchedNumber uint64
+	number        uint64
+	listRead      bool
+	leaving       bool
+	fenced        bool
 }
 
 // Option changes a Control that New makes.
@@ -64,6 +80,12 @@
 	return func(c *Control) { c.listing = interval }
 }
 
+// WithGate calls the function before each step of the control goroutine.
+// Tests pause a VM by a function that blocks.
+func WithGate(gate func(ctx context.Context)) Option {
+	return func(c *Control) { c.gate = gate }
+}
+
 // Defaults of the options.
 const (
 	defaultTick    = 100 * time.Millisecond
@@ -82,24 +104,31 @@
 	opts ...Option,
 ) *Control {
 	c := &Control{
-		self:      self,
-		config:    config,
-		lister:    lister,
-		peers:     peers,
-		events:    events,
-		checker:   checker,
-		messages:  make(chan message, messageBacklog),
-		tick:      defaultTick,
-		listing:   defaultListing,
-		documents: newDocumentTable(),
-		watched:   make(map[string]context.CancelFunc),
-		owners:    newOwnerTable(),
-		marks:     newSinceTable(),
+		self:       self,
+		config:     config,
+		lister:     lister,
+		peers:      peers,
+		events:     events,
+		checker:    checker,
+		messages:   make(chan message, messageBacklog),
+		tick:       defaultTick,
+		listing:    defaultListing,
+		gate:       func(context.Context) {},
+		random:     rand.New(rand.NewPCG(self.Boot, uint64(len(self.Name)))),
+		documents:  newDocumentTable(),
+		watched:    make(map[string]context.CancelFunc),
+		owners:     newOwnerTable(),
+		marks:      newSinceTable(),
+		partings:   newPartingTable(),
+		emptySince: make(map[string]time.Time),
+		returned:   make(map[string]time.Time),
+		fenced:     true,
 	}
 	for _, opt := range opts {
 		opt(c)
 	}
-	c.views = drifttable.NewHolder(drifttable.View{Self: self.Name})
+	c.tables.view.Self = self.Name
+	c.views = drifttable.NewHolder(drifttable.View{Self: c.self.Name, Fenced: true})
 	return c
 }
 
@@ -130,6 +159,7 @@
 
 // loop is the control goroutine.
 func (c *Control) loop(ctx context.Context, group *errgroup.Group) {
+	c.start(group)
 	ticker := time.NewTicker(c.tick)
 	defer ticker.Stop()
 	c.watchKeys(ctx, group)
@@ -138,14 +168,52 @@
 		case <-ctx.Done():
 			return
 		case m := <-c.messages:
-			c.handle(m)
-		case now := <-ticker.C:
-			c.publish(now)
+			c.gate(ctx)
+			c.step(ctx, m)
+		case <-ticker.C:
+			c.gate(ctx)
+			c.step(ctx, nil)
 		}
 		c.watchKeys(ctx, group)
 	}
 }
 
+// start sets what depends on the moment at which the loop begins.
+func (c *Control) start(group *errgroup.Group) {
+	now := time.Now()
+	c.started, c.awake = now, now
+	c.spawn = func(run func()) {
+		group.Go(func() error {
+			run()
+			return nil
+		})
+	}
+	c.members = newMemberTable(c.self, now)
+	c.events.Record(driftevent.VMStarted, "", c.self.Name, c.self.Domain)
+}
+
+// step handles a message, or runs the systems when there is none.
+func (c *Control) step(ctx context.Context, m message) {
+	now := time.Now()
+	c.notePause(now)
+	if m == nil {
+		c.watchMembers(now)
+		c.runProbes(ctx, now)
+		c.publish(now)
+		return
+	}
+	before := c.revision()
+	c.handle(ctx, m, now)
+	if c.revision() != before {
+		c.publish(now)
+	}
+}
+
+// revision changes with every table that a view shows.
+func (c *Control) revision() uint64 {
+	return c.members.number + c.documents.changes + uint64(len(c.partings.rows))
+}
+
 // message is something that happened, told to the control goroutine.
 type message interface {
 	message()
@@ -170,21 +238,43 @@
 func (listRead) message()       {}
 func (leaveRequested) message() {}
 
-func (c *Control) handle(m message) {
+func (c *Control) handle(ctx context.Context, m message, now time.Time) {
 	switch m := m.(type) {
 	case documentRead:
+		c.contact = now
 		c.applyDocument(m.value)
 	case documentMissed:
 		c.events.Record(driftevent.ConfigUnavailable, "", m.key, m.err.Error())
 	case listRead:
-		c.members.apply(m.vms)
+		c.listRead = true
+		c.members.apply(m.vms, c.self.Name, now)
 	case observed:
-		return
+		c.observe(m.observation, now)
+	case probeReceived:
+		c.answerProbe(m, now)
+	case probeEnded:
+		c.endProbe(m, now)
+	case relayEnded:
+		c.endRelay(m, now)
 	case leaveRequested:
-		c.leaving = true
-		c.events.Record(driftevent.VMLeaving, "", c.self.Name, "")
+		c.leave(ctx, now)
+	}
+}
+
+// leave gives up the upstreams of this VM and tells other VMs at once.
+func (c *Control) leave(ctx context.Context, now time.Time) {
+	if c.leaving {
+		return
+	}
+	c.leaving = true
+	self := c.members.rows[c.self.Name]
+	self.departed = c.self.Boot
+	c.members.number++
+	for _, m := range c.members.rows {
+		m.probe.due = now
 	}
-	c.publish(time.Now())
+	c.events.Record(driftevent.VMLeaving, "", c.self.Name, "")
+	c.runProbes(ctx, now)
 }
 
 func (c *Control) tell(ctx context.Context, m message) {
@@ -194,29 +284,12 @@
 	}
 }
 
-// publish runs the systems over the tables and publishes the view.
-func (c *Control) publish(now time.Time) {
-	c.number++
-	v := drifttable.View{Self: c.self.Name, Number: c.number, Made: now}
-	c.documents.fill(&v)
-	c.members.fill(&v, c.self, c.leaving)
-	c.applyMarks(&v, now)
-	c.chooseOwners(&v, now)
-	c.views.Publish(v)
-}
-
-// applyDocument puts a newer document in force and refuses an invalid one.
-func (c *Control) applyDocument(value driftplatform.Value) {
-	held := c.documents.number(value.Key)
-	if value.Number <= held {
-		return
-	}
-	doc, err := driftdocument.Parse(value.Key, value.Body)
-	if err != nil {
-		c.events.Record(driftevent.ConfigRefused, "", value.Key, err.Error())
-		return
+// readList reads the published VM list until ctx ends.
+func (c *Control) readList(ctx context.Context) {
+	for ctx.Err() == nil {
+		if r, ok := c.lister.List(ctx).(driftplatform.Listed); ok {
+			c.tell(ctx, listRead{vms: r.VMs})
+		}
+		sleep(ctx, c.listing)
 	}
-	c.checker.Forward(value.Key, held, value.Number)
-	c.documents.put(value, doc)
-	c.events.Record(driftevent.ConfigInForce, "", value.Key, revisionText(value.Number))
 }
--- a/internal/driftcontrol/document.go
+++ b/internal/driftcontrol/document.go
@@ -5,9 +5,12 @@
 	"strconv"
 	"time"
 
+	"github.com/twitchtv/twirp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/almonddrift/almonddrift/internal/driftdocument"
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	pb "github.com/almonddrift/almonddrift/internal/driftpeer/driftpeerpb"
 	"github.com/almonddrift/almonddrift/internal/driftplatform"
 	"github.com/almonddrift/almonddrift/internal/drifttable"
 )
@@ -29,22 +32,26 @@
 // documentTable holds the documents in force by their keys.
 type documentTable struct {
 	rows map[string]documentRow
+	// changes counts the documents that were put, digest identifies their
+	// revisions.
+	changes, digest uint64
 }
 
-func newDocumentTable() documentTable {
-	return documentTable{rows: make(map[string]documentRow)}
+func newDocumentTable() *documentTable {
+	return &documentTable{rows: make(map[string]documentRow)}
 }
 
-func (t documentTable) number(key string) uint64 {
+func (t *documentTable) number(key string) uint64 {
 	return t.rows[key].value.Number
 }
 
-func (t documentTable) put(value driftplatform.Value, doc driftdocument.Document) {
+func (t *documentTable) put(value driftplatform.Value, doc driftdocument.Document) {
 	t.rows[value.Key] = documentRow{value: value, document: doc}
+	t.changes++
 }
 
 // fill copies the documents into the tables of a view.
-func (t documentTable) fill(v *drifttable.View) {
+func (t *documentTable) fill(v *drifttable.View) {
 	var (
 		domains   []drifttable.Domain
 		classes   []drifttable.Class
@@ -74,14 +81,14 @@
 }
 
 // marks returns the marks in force.
-func (t documentTable) marks() driftdocument.Marks {
+func (t *documentTable) marks() driftdocument.Marks {
 	d, _ := t.rows[driftdocument.KeyMarks].document.(driftdocument.Marks)
 	return d
 }
 
 // keys returns the keys to watch: the fixed ones and two for each service
 // that a class names.
-func (t documentTable) keys() []string {
+func (t *documentTable) keys() []string {
 	keys := []string{
 		driftdocument.KeyDomains, driftdocument.KeyClasses, driftdocument.KeyMarks,
 	}
@@ -135,6 +142,22 @@
 	return c.config.Watch(ctx, key, held)
 }
 
+// applyDocument puts a newer document in force and refuses an invalid one.
+func (c *Control) applyDocument(value driftplatform.Value) {
+	held := c.documents.number(value.Key)
+	if value.Number <= held {
+		return
+	}
+	doc, err := driftdocument.Parse(value.Key, value.Body)
+	if err != nil {
+		c.events.Record(driftevent.ConfigRefused, "", value.Key, err.Error())
+		return
+	}
+	c.checker.Forward(value.Key, held, value.Number)
+	c.documents.put(value, doc)
+	c.events.Record(driftevent.ConfigInForce, "", value.Key, revisionText(value.Number))
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -147,3 +170,12 @@
 func revisionText(number uint64) string {
 	return "revision " + strconv.FormatUint(number, 10)
 }
+
+// Documents exchanges configuration documents with another VM.
+func (c *Control) Documents(context.Context, *pb.DocumentsRequest) (*pb.DocumentsReply, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "documents")
+}
+
+func (c *Control) answerHeld(*member, *pb.ProbeRequest, *pb.ProbeReply) {}
+
+func (c *Control) noteHeld(*member, *pb.ProbeReply, time.Time) {}
--- /dev/null
+++ b/internal/driftcontrol/home.go
@@ -0,0 +1,72 @@
+package driftcontrol
+
+import (
+	"maps"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+)
+
+// homeTable says which failure domain owns the upstreams of a domain that has
+// no VM of its own in service.
+type homeTable struct {
+	// empty are the domains without a VM.
+	empty map[string]bool
+	// able are the domains that may adopt, in order.
+	able []string
+}
+
+func (t homeTable) equal(other homeTable) bool {
+	return maps.Equal(t.empty, other.empty) && len(t.able) == len(other.able)
+}
+
+// of returns the domain whose VMs own the upstream.
+func (t homeTable) of(u drifttable.Upstream) string {
+	if !t.empty[u.Domain] {
+		return u.Domain
+	}
+	return drifttable.First(u.Name, t.able)
+}
+
+// homes judges the published domains. A domain counts as empty once the
+// published list has shown no VM of it, or only VMs that are marked out, for
+// longer than the list's lag, and no VM of it has been heard.
+func (c *Control) homes(now time.Time) homeTable {
+	t := homeTable{empty: make(map[string]bool)}
+	present := c.presentDomains()
+	if !present[c.self.Domain] {
+		c.lastEmpty = now
+	}
+	for d := range c.tables.view.Domains.All() {
+		if present[d.Name] {
+			delete(c.emptySince, d.Name)
+			if !d.Out {
+				t.able = append(t.able, d.Name)
+			}
+			continue
+		}
+		since, found := c.emptySince[d.Name]
+		if !found {
+			since = now
+			c.emptySince[d.Name] = now
+		}
+		if c.listRead && now.Sub(since) > adoptAfter {
+			t.empty[d.Name] = true
+		}
+	}
+	return t
+}
+
+// presentDomains returns the domains that have a VM in service, by the list
+// or by its own word.
+func (c *Control) presentDomains() map[string]bool {
+	present := make(map[string]bool)
+	for _, name := range c.members.names {
+		m := c.members.rows[name]
+		heard := m.met && m.vm.Health != drifttable.Dead && m.vm.Health != drifttable.Leaving
+		if (m.vm.Listed || heard) && !m.vm.Out {
+			present[m.vm.Domain] = true
+		}
+	}
+	return present
+}
--- a/internal/driftcontrol/member.go
+++ b/internal/driftcontrol/member.go
@@ -1,74 +1,230 @@
 package driftcontrol
 
 import (
-	"context"
+	"slices"
 	"time"
 
+	"github.com/almonddrift/almonddrift/internal/driftevent"
 	"github.com/almonddrift/almonddrift/internal/driftplatform"
 	"github.com/almonddrift/almonddrift/internal/drifttable"
 )
 
-// memberTable holds the VMs of the published list.
+// Times by which VMs are judged.
+const (
+	// suspectAfter is the silence after which a VM is probed by relays too.
+	suspectAfter = 400 * time.Millisecond
+	// silenceLimit is the silence after which a VM is taken to be gone.
+	silenceLimit = time.Second
+	// forgetAfter is how long a VM that is neither listed nor heard is kept.
+	forgetAfter = time.Minute
+	// flapDelay is how long a VM that came back must stay good before it owns
+	// again. It doubles with every flap up to maxFlapDelay.
+	flapDelay    = time.Second
+	maxFlapDelay = time.Minute
+	// flapMemory is how long a VM must stay good for a flap to be forgotten.
+	flapMemory = 2 * time.Minute
+)
+
+// member is what this VM knows of one VM, itself included.
+type member struct {
+	vm drifttable.VM
+	// met is set once the VM has answered or probed this one.
+	met bool
+	// heard is the last direct sign of life, vouched the last one by relay.
+	heard, vouched time.Time
+	// watched is set while silence of the VM means something.
+	watched bool
+	// doubted is since when the VM is watched because a request to it failed.
+	doubted time.Time
+	// unlisted is since when the published list has not named the VM.
+	unlisted      time.Time
+	listedLeaving bool
+	// departed is the incarnation that has announced to leave, 0 without.
+	departed uint64
+	fenced   bool
+	flaps    int
+	// ready is when the VM has stayed good for long enough to own again.
+	ready    time.Time
+	forgiven time.Time
+	seat     seat
+	probe    probing
+	told     statement
+}
+
+// lastSign returns the last sign of life.
+func (m *member) lastSign() time.Time {
+	if m.vouched.After(m.heard) {
+		return m.vouched
+	}
+	return m.heard
+}
+
+// leaving reports whether the VM shuts down, by its own word or by the list.
+func (m *member) leaving() bool {
+	return m.listedLeaving || (m.departed != 0 && m.departed >= m.vm.Boot)
+}
+
+// health judges the VM.
+func (m *member) health(now time.Time) drifttable.Health {
+	silence := now.Sub(m.lastSign())
+	switch {
+	case m.leaving():
+		return drifttable.Leaving
+	case !m.watched:
+		return drifttable.Alive
+	case silence > silenceLimit:
+		return drifttable.Dead
+	case silence > suspectAfter:
+		return drifttable.Suspect
+	}
+	return drifttable.Alive
+}
+
+// hear notes a direct sign of life.
+func (m *member) hear(now time.Time) {
+	m.met = true
+	m.heard = now
+	m.doubted = time.Time{}
+}
+
+// flap counts a return and delays the next ownership.
+func (m *member) flap(now time.Time) {
+	delay := min(flapDelay<<min(m.flaps, 6), maxFlapDelay)
+	m.flaps++
+	m.ready = now.Add(delay)
+	m.forgiven = now.Add(flapMemory)
+}
+
+// forgive forgets a flap after a good while.
+func (m *member) forgive(now time.Time) {
+	if m.flaps > 0 && now.After(m.forgiven) {
+		m.flaps--
+		m.forgiven = now.Add(flapMemory)
+	}
+}
+
+// memberTable holds the known VMs, this one included.
 type memberTable struct {
-	vms drifttable.Table[drifttable.VM]
+	rows map[string]*member
+	// names are the keys of rows in order.
+	names []string
+	// listed are the names of the published list in order.
+	listed []string
+	// number grows with every change of a row that a view shows.
+	number uint64
+}
+
+func newMemberTable(self drifttable.VM, now time.Time) *memberTable {
+	t := &memberTable{rows: make(map[string]*member)}
+	m := t.add(self, now)
+	m.met, m.watched = true, true
+	return t
+}
+
+// add makes a row for a VM that is not known yet.
+func (t *memberTable) add(vm drifttable.VM, now time.Time) *member {
+	m := &member{vm: vm, heard: now, unlisted: now}
+	t.rows[vm.Name] = m
+	i, _ := slices.BinarySearch(t.names, vm.Name)
+	t.names = slices.Insert(t.names, i, vm.Name)
+	t.number++
+	return m
 }
 
-// apply replaces the listed VMs.
-func (t *memberTable) apply(listed []driftplatform.ListedVM) {
-	rows := make([]drifttable.VM, 0, len(listed))
+// apply takes over the published list.
+func (t *memberTable) apply(listed []driftplatform.ListedVM, self string, now time.Time) {
+	names := make([]string, 0, len(listed))
 	for _, l := range listed {
-		vm := drifttable.VM{
-			Name: l.Name, Domain: l.Domain, Callers: l.Callers, Peers: l.Peers, Listed: true,
+		names = append(names, l.Name)
+		m, found := t.rows[l.Name]
+		if !found {
+			m = t.add(drifttable.VM{Name: l.Name}, now)
 		}
-		if l.Leaving {
-			vm.Health = drifttable.Leaving
+		m.listedLeaving = l.Leaving
+		if l.Name != self && (m.vm.Domain != l.Domain || m.vm.Peers != l.Peers || m.vm.Callers != l.Callers) {
+			m.vm.Domain, m.vm.Callers, m.vm.Peers = l.Domain, l.Callers, l.Peers
+			t.number++
 		}
-		rows = append(rows, vm)
 	}
-	t.vms = drifttable.NewTable(rows...)
-}
-
-// fill copies the members into a view, this VM included.
-func (t *memberTable) fill(v *drifttable.View, self drifttable.VM, leaving bool) {
-	rows := make([]drifttable.VM, 0, t.vms.Len()+1)
-	for vm := range t.vms.All() {
-		rows = append(rows, vm)
+	slices.Sort(names)
+	if !slices.Equal(names, t.listed) {
+		t.listed = names
+		t.number++
 	}
-	if leaving {
-		self.Health = drifttable.Leaving
+	for name, m := range t.rows {
+		_, found := slices.BinarySearch(names, name)
+		if !found && m.vm.Listed {
+			m.unlisted = now
+		}
+		m.vm.Listed = found
 	}
-	rows = append(rows, self)
-	v.VMs = drifttable.NewTable(rows...)
 }
 
-// readList reads the published VM list until ctx ends.
-func (c *Control) readList(ctx context.Context) {
-	for ctx.Err() == nil {
-		if r, ok := c.lister.List(ctx).(driftplatform.Listed); ok {
-			c.tell(ctx, listRead{vms: r.VMs})
+// forget removes VMs that are neither listed nor heard of.
+func (t *memberTable) forget(self string, now time.Time) {
+	for _, name := range slices.Clone(t.names) {
+		m := t.rows[name]
+		if name == self || m.vm.Listed || now.Sub(m.unlisted) < forgetAfter || now.Sub(m.lastSign()) < forgetAfter {
+			continue
 		}
-		sleep(ctx, c.listing)
+		delete(t.rows, name)
+		t.names = slices.DeleteFunc(t.names, func(n string) bool { return n == name })
+		t.number++
 	}
 }
 
-// sinceTable remembers when this VM first saw a mark.
-type sinceTable struct {
-	rows map[string]time.Time
+// vms returns the rows that a view shows.
+func (t *memberTable) vms() []drifttable.VM {
+	rows := make([]drifttable.VM, 0, len(t.names))
+	for _, name := range t.names {
+		m := t.rows[name]
+		vm := m.vm
+		if !vm.Listed && !m.met {
+			vm.Health = drifttable.Dead
+		}
+		rows = append(rows, vm)
+	}
+	return rows
 }
 
-func newSinceTable() sinceTable {
-	return sinceTable{rows: make(map[string]time.Time)}
+// judgeMembers sets the health of every VM.
+func (c *Control) judgeMembers(now time.Time) {
+	for _, name := range c.members.names {
+		m := c.members.rows[name]
+		if name == c.self.Name {
+			m.heard = now
+		}
+		m.forgive(now)
+		health := m.health(now)
+		if health == m.vm.Health {
+			continue
+		}
+		if m.vm.Health == drifttable.Dead && health != drifttable.Leaving {
+			m.flap(now)
+		}
+		if health != drifttable.Suspect && m.vm.Health != drifttable.Suspect || health == drifttable.Dead {
+			c.events.Record(driftevent.VMHealthChanged, "", name, m.vm.Health.String()+" to "+health.String())
+		}
+		m.vm.Health = health
+		c.members.number++
+	}
+	c.members.forget(c.self.Name, now)
 }
 
-// mark returns the moment since which the subject is marked, zero when it is
-// not.
-func (t sinceTable) mark(subject string, marked bool, now time.Time) time.Time {
-	if !marked {
-		delete(t.rows, subject)
-		return time.Time{}
+// notePause raises the incarnation of this VM after a pause of its process:
+// what it knew before is old, and other VMs may have taken over.
+func (c *Control) notePause(now time.Time) {
+	gap := max(now.Sub(c.awake), now.Round(0).Sub(c.awake.Round(0)))
+	c.awake = now
+	if gap < pauseLimit {
+		return
 	}
-	if _, found := t.rows[subject]; !found {
-		t.rows[subject] = now
+	c.self.Boot++
+	c.members.rows[c.self.Name].vm.Boot = c.self.Boot
+	c.members.rows[c.self.Name].seat.restart(now)
+	c.members.number++
+	for _, m := range c.members.rows {
+		m.heard = now
 	}
-	return t.rows[subject]
+	c.events.Record(driftevent.VMPaused, "", c.self.Name, "paused for "+gap.Round(time.Millisecond).String())
 }
--- a/internal/driftcontrol/owner.go
+++ b/internal/driftcontrol/owner.go
@@ -1,67 +1,158 @@
 package driftcontrol
 
 import (
+	"slices"
 	"time"
 
 	"github.com/almonddrift/almonddrift/internal/driftevent"
 	"github.com/almonddrift/almonddrift/internal/drifttable"
 )
 
-// holdTime is how long a new owner waits before it dispatches, so that
-// requests that the earlier owner sent have ended.
-const holdTime = time.Second
+// Times of ownership.
+const (
+	// holdTime is how long a new owner waits before it dispatches, so that
+	// requests that the earlier owner sent have ended.
+	holdTime = time.Second
+	// adoptAfter is how long the published list must show no VM of a domain
+	// before another domain takes its upstreams. It exceeds the list's lag.
+	adoptAfter = 15 * time.Second
+	// returnHold is how long the first VM of a domain that was empty waits,
+	// so that the VMs of other domains see it and let go.
+	returnHold = 5 * time.Second
+)
 
 // ownerTable remembers the owners of the view before.
 type ownerTable struct {
-	rows map[string]drifttable.Owner
+	rows   drifttable.Table[drifttable.Owner]
+	held   map[string]time.Time
+	basis  []standing
+	source uint64
 }
 
 func newOwnerTable() ownerTable {
-	return ownerTable{rows: make(map[string]drifttable.Owner)}
+	return ownerTable{held: make(map[string]time.Time)}
 }
 
-// chooseOwners assigns each upstream to a VM of its own failure domain by
-// rendezvous hashing.
-func (c *Control) chooseOwners(v *drifttable.View, now time.Time) {
-	serving := servingByDomain(v)
-	owners := make([]drifttable.Owner, 0, v.Upstreams.Len())
-	for u := range v.Upstreams.All() {
-		owners = append(owners, c.chooseOwner(u, serving.names(u.Domain), now))
+// standing is how one VM counts in the choice of owners.
+type standing struct {
+	name, domain string
+	// serves is set for a VM that requests may be sent to.
+	serves bool
+	// excluded is set for a VM of this VM's domain that surely owns nothing.
+	excluded bool
+}
+
+// standings judges all VMs, in the order of their names.
+func (c *Control) standings(now time.Time) []standing {
+	all := make([]standing, 0, len(c.members.names))
+	for _, name := range c.members.names {
+		m := c.members.rows[name]
+		s := standing{name: name, domain: m.vm.Domain}
+		s.serves = (m.vm.Listed || m.met) && !m.vm.Out && !m.fenced &&
+			(m.vm.Health == drifttable.Alive || m.vm.Health == drifttable.Suspect)
+		switch {
+		case name == c.self.Name:
+			s.serves = !c.fenced && !c.leaving && !m.vm.Out
+		case m.vm.Domain == c.self.Domain:
+			s.excluded = c.excluded(name, now)
+		}
+		all = append(all, s)
 	}
-	v.Owners = drifttable.NewTable(owners...)
+	return all
 }
 
-func (c *Control) chooseOwner(u drifttable.Upstream, serving []string, now time.Time) drifttable.Owner {
-	o := drifttable.Owner{Upstream: u.Name, Candidates: drifttable.Rank(u.Name, serving)}
-	if len(o.Candidates) > 0 {
-		o.Name = o.Candidates[0]
+// chooseOwners assigns each upstream to a VM of its own failure domain by
+// rendezvous hashing. It returns the table of the view before when nothing
+// has changed.
+func (c *Control) chooseOwners(upstreams drifttable.Table[drifttable.Upstream], now time.Time) drifttable.Table[drifttable.Owner] {
+	basis := c.standings(now)
+	homes := c.homes(now)
+	if c.owners.source == c.tables.number && slices.Equal(basis, c.owners.basis) && homes.equal(c.homesBefore) {
+		return c.owners.rows
 	}
-	before, found := c.owners.rows[u.Name]
-	o.Hold = before.Hold
-	if found && before.Name != o.Name {
-		o.Hold = now.Add(holdTime)
-		c.events.Record(driftevent.OwnerChanged, "", u.Name, before.Name+" to "+o.Name)
+	c.owners.basis, c.owners.source, c.homesBefore = basis, c.tables.number, homes
+	groups := groupStandings(basis)
+	rows := make([]drifttable.Owner, 0, upstreams.Len())
+	for u := range upstreams.All() {
+		home := homes.of(u)
+		rows = append(rows, c.chooseOwner(u, groups.rows[home], now))
 	}
-	c.owners.rows[u.Name] = o
-	return o
+	c.owners.rows = drifttable.NewTable(rows...)
+	return c.owners.rows
+}
+
+// standingGroups holds the standings by failure domain.
+type standingGroups struct {
+	rows map[string]*standingGroup
 }
 
-// domainTable holds the names of the serving VMs by failure domain.
-type domainTable struct {
-	rows map[string][]string
+// standingGroup is the VMs of one domain.
+type standingGroup struct {
+	names []string
+	rows  map[string]standing
 }
 
-func (t domainTable) names(domain string) []string {
-	return t.rows[domain]
+func groupStandings(all []standing) standingGroups {
+	g := standingGroups{rows: make(map[string]*standingGroup)}
+	for _, s := range all {
+		group, found := g.rows[s.domain]
+		if !found {
+			group = &standingGroup{rows: make(map[string]standing)}
+			g.rows[s.domain] = group
+		}
+		group.names = append(group.names, s.name)
+		group.rows[s.name] = s
+	}
+	return g
 }
 
-func servingByDomain(v *drifttable.View) domainTable {
-	t := domainTable{rows: make(map[string][]string)}
-	for vm := range v.VMs.All() {
-		if vm.Out || vm.Health == drifttable.Leaving || vm.Health == drifttable.Dead {
+// chooseOwner returns the owner of one upstream among the VMs of a domain.
+func (c *Control) chooseOwner(u drifttable.Upstream, group *standingGroup, now time.Time) drifttable.Owner {
+	o := drifttable.Owner{Upstream: u.Name}
+	if group == nil {
+		return o
+	}
+	sure := true
+	for _, name := range drifttable.Rank(u.Name, group.names) {
+		s := group.rows[name]
+		if !s.serves || s.excluded {
+			sure = sure && s.excluded
 			continue
 		}
-		t.rows[vm.Domain] = append(t.rows[vm.Domain], vm.Name)
+		o.Candidates = append(o.Candidates, name)
+		if len(o.Candidates) == 1 && (name != c.self.Name || sure) {
+			o.Name = name
+		}
+	}
+	o.Hold = c.hold(o, now)
+	return o
+}
+
+// hold returns the moment before which this VM may not dispatch to an
+// upstream that it owns.
+func (c *Control) hold(o drifttable.Owner, now time.Time) time.Time {
+	until, had := c.owners.held[o.Upstream]
+	if o.Name != c.self.Name {
+		if had {
+			delete(c.owners.held, o.Upstream)
+			c.events.Record(driftevent.OwnerChanged, "", o.Upstream, c.self.Name+" to "+o.Name)
+		}
+		return time.Time{}
+	}
+	if !had {
+		until = now.Add(c.newHold(now))
+		c.owners.held[o.Upstream] = until
+		c.events.Record(driftevent.OwnerChanged, "", o.Upstream, "to "+o.Name)
+	}
+	return until
+}
+
+// newHold is longer when this VM may be the first of a domain whose
+// upstreams another domain has adopted.
+func (c *Control) newHold(now time.Time) time.Duration {
+	first := len(c.domainVMs(c.self.Domain)) <= 1 && now.Sub(c.started) < adoptAfter
+	if first || (!c.lastEmpty.IsZero() && now.Sub(c.lastEmpty) < adoptAfter) {
+		return returnHold
 	}
-	return t
+	return holdTime
 }
--- /dev/null
+++ b/internal/driftcontrol/parting.go
@@ -0,0 +1,141 @@
+package driftcontrol
+
+import (
+	"slices"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	pb "github.com/almonddrift/almonddrift/internal/driftpeer/driftpeerpb"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+)
+
+// spreadTime is how long a parting is passed on to other VMs.
+const spreadTime = 5 * time.Second
+
+// parting is an upstream that was seen to leave before the documents said so.
+type parting struct {
+	// row is the published upstream that was seen to leave.
+	row   drifttable.Upstream
+	since time.Time
+}
+
+// partingTable holds the upstreams that were seen to leave. A row stays until
+// the published upstream changes: a restarted upstream must be published anew
+// to get work again.
+type partingTable struct {
+	rows map[string]parting
+}
+
+func newPartingTable() *partingTable {
+	return &partingTable{rows: make(map[string]parting)}
+}
+
+// recent returns the partings to pass on.
+func (t *partingTable) recent(now time.Time) []*pb.Parting {
+	var recent []*pb.Parting
+	for name, p := range t.rows {
+		if age := now.Sub(p.since); age < spreadTime {
+			recent = append(recent, &pb.Parting{Upstream: name, Age: age.Microseconds()})
+		}
+	}
+	return recent
+}
+
+// learn takes partings that another VM passes on.
+func (t *partingTable) learn(partings []*pb.Parting, now time.Time) {
+	for _, p := range partings {
+		t.add(p.GetUpstream(), now.Add(-time.Duration(p.GetAge())*time.Microsecond))
+	}
+}
+
+func (t *partingTable) add(upstream string, since time.Time) {
+	if _, found := t.rows[upstream]; !found {
+		t.rows[upstream] = parting{since: since}
+	}
+}
+
+// partUpstream applies a parting and the published mark to an upstream.
+func (c *Control) partUpstream(u drifttable.Upstream, now time.Time) drifttable.Upstream {
+	published := u
+	p, parted := c.partings.rows[u.Name]
+	if parted && p.row.Name != "" && p.row != published {
+		delete(c.partings.rows, u.Name)
+		parted = false
+	}
+	if parted && p.row.Name == "" {
+		p.row = published
+		c.partings.rows[u.Name] = p
+		c.events.Record(driftevent.UpstreamLeaving, "", u.Name, "refused work")
+	}
+	u.Since = c.marks.mark("upstream/"+u.Name, u.Leaving, now)
+	if parted {
+		u.Leaving = true
+		if u.Since.IsZero() || p.since.Before(u.Since) {
+			u.Since = p.since
+		}
+	}
+	return u
+}
+
+// markedRow applies the marks to a domain.
+func (c *Control) markDomain(d drifttable.Domain, now time.Time) drifttable.Domain {
+	d.Out = slices.Contains(c.documents.marks().Domains, d.Name)
+	before := c.marks.since("domain/" + d.Name)
+	d.Since = c.marks.mark("domain/"+d.Name, d.Out, now)
+	if d.Out != !before.IsZero() {
+		c.events.Record(driftevent.MarkChanged, "", d.Name, markText(d.Out))
+		if !d.Out {
+			c.returned[d.Name] = now
+		}
+	}
+	d.Back = c.returned[d.Name]
+	return d
+}
+
+// markMembers applies the marks to the VMs.
+func (c *Control) markMembers(now time.Time) {
+	marks := c.documents.marks()
+	for name, m := range c.members.rows {
+		out := slices.Contains(marks.VMs, name)
+		if out == m.vm.Out {
+			continue
+		}
+		m.vm.Out = out
+		m.vm.Since = c.marks.mark("vm/"+name, out, now)
+		c.members.number++
+		c.events.Record(driftevent.MarkChanged, "", name, markText(out))
+	}
+}
+
+func markText(out bool) string {
+	if out {
+		return "out of service"
+	}
+	return "back in service"
+}
+
+// sinceTable remembers when this VM first saw a mark.
+type sinceTable struct {
+	rows map[string]time.Time
+}
+
+func newSinceTable() sinceTable {
+	return sinceTable{rows: make(map[string]time.Time)}
+}
+
+func (t sinceTable) since(subject string) time.Time {
+	return t.rows[subject]
+}
+
+// mark returns the moment since which the subject is marked, zero when it is
+// not.
+func (t sinceTable) mark(subject string, marked bool, now time.Time) time.Time {
+	if !marked {
+		delete(t.rows, subject)
+		return time.Time{}
+	}
+	if _, found := t.rows[subject]; !found {
+		t.rows[subject] = now
+	}
+	return t.rows[subject]
+}
--- /dev/null
+++ b/internal/driftcontrol/probe.go
@@ -0,0 +1,317 @@
+package driftcontrol
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	pb "github.com/almonddrift/almonddrift/internal/driftpeer/driftpeerpb"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+)
+
+// Times of probes.
+const (
+	// voterInterval is the time between two probes of a VM that votes on this
+	// one, watchInterval that of any other watched VM.
+	voterInterval = 250 * time.Millisecond
+	watchInterval = 500 * time.Millisecond
+	// relayInterval is the time between two relayed probes of a silent VM.
+	relayInterval = 300 * time.Millisecond
+	// probeTimeout bounds a probe.
+	probeTimeout = 500 * time.Millisecond
+	// maxRelays is how many VMs are asked to relay at a time.
+	maxRelays = 3
+	// pauseLimit is the gap between two steps of the control goroutine from
+	// which the process counts as paused.
+	pauseLimit = time.Second
+)
+
+// probing is the state of the probes of one VM.
+type probing struct {
+	due, relayDue time.Time
+	interval      time.Duration
+	pending       bool
+	introduced    bool
+}
+
+type (
+	// probeReceived is a probe by another VM. The reply goes to answer.
+	probeReceived struct {
+		request *pb.ProbeRequest
+		answer  chan<- *pb.ProbeReply
+	}
+	// probeEnded is the end of a probe that this VM sent, without a reply
+	// when it failed.
+	probeEnded struct {
+		vm    string
+		sent  time.Time
+		reply *pb.ProbeReply
+	}
+	// relayEnded tells that a third VM has reached the target.
+	relayEnded struct {
+		vm    string
+		reply *pb.ProbeReply
+	}
+)
+
+func (probeReceived) message() {}
+func (probeEnded) message()    {}
+func (relayEnded) message()    {}
+
+// runProbes starts the probes that are due.
+func (c *Control) runProbes(ctx context.Context, now time.Time) {
+	for _, name := range c.members.names {
+		m := c.members.rows[name]
+		if name == c.self.Name || !m.watched || m.vm.Peers == "" {
+			continue
+		}
+		if !m.probe.pending && !now.Before(m.probe.due) {
+			c.launchProbe(ctx, m, now)
+		}
+		if now.Sub(m.lastSign()) > suspectAfter && !now.Before(m.probe.relayDue) {
+			m.probe.relayDue = now.Add(relayInterval)
+			c.launchRelays(ctx, m)
+		}
+	}
+}
+
+func (c *Control) launchProbe(ctx context.Context, m *member, now time.Time) {
+	m.probe.pending = true
+	m.probe.due = now.Add(m.probe.interval)
+	name, address, request := m.vm.Name, m.vm.Peers, c.probeRequest(m, now)
+	c.spawn(func() {
+		limited, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		reply, err := c.peers.Fresh(address).Probe(limited, request)
+		if err != nil {
+			reply = nil
+		}
+		c.tell(ctx, probeEnded{vm: name, sent: now, reply: reply})
+	})
+}
+
+// launchRelays asks a few VMs that answer to probe one that does not.
+func (c *Control) launchRelays(ctx context.Context, m *member) {
+	request := &pb.RelayRequest{Target: m.vm.Name, Address: m.vm.Peers, Self: c.selfMember(true)}
+	for _, relay := range c.relays(m.vm.Name) {
+		c.spawn(func() {
+			limited, cancel := context.WithTimeout(ctx, 2*probeTimeout)
+			defer cancel()
+			reply, err := c.peers.Fresh(relay).Relay(limited, request)
+			if err == nil {
+				c.tell(ctx, relayEnded{vm: request.GetTarget(), reply: reply})
+			}
+		})
+	}
+}
+
+// relays returns the addresses of VMs that may reach the target, others each
+// time.
+func (c *Control) relays(target string) []string {
+	var addresses []string
+	for _, name := range c.members.names {
+		m := c.members.rows[name]
+		if name == c.self.Name || name == target || m.vm.Peers == "" {
+			continue
+		}
+		if m.watched && m.vm.Health == drifttable.Alive {
+			addresses = append(addresses, m.vm.Peers)
+		}
+	}
+	c.random.Shuffle(len(addresses), func(i, j int) {
+		addresses[i], addresses[j] = addresses[j], addresses[i]
+	})
+	return addresses[:min(len(addresses), maxRelays)]
+}
+
+// probeRequest builds the probe of one VM.
+func (c *Control) probeRequest(m *member, now time.Time) *pb.ProbeRequest {
+	return &pb.ProbeRequest{
+		Self: c.selfMember(!m.probe.introduced), Roster: m.told.digest, Vote: true,
+		Held: c.documents.digest, Partings: c.partings.recent(now),
+	}
+}
+
+// selfMember describes this VM, in full to VMs that may not know it.
+func (c *Control) selfMember(full bool) *pb.Member {
+	w := &pb.Member{Name: c.self.Name, Boot: c.self.Boot, Fenced: c.fenced}
+	if c.leaving {
+		w.Health = int32(drifttable.Leaving)
+	}
+	if full {
+		w.Domain, w.Callers, w.Peers = c.self.Domain, c.self.Callers, c.self.Peers
+	}
+	return w
+}
+
+// Probe answers a VM that asks whether this one lives.
+func (c *Control) Probe(ctx context.Context, w *pb.ProbeRequest) (*pb.ProbeReply, error) {
+	answer := make(chan *pb.ProbeReply, 1)
+	c.tell(ctx, probeReceived{request: w, answer: answer})
+	select {
+	case reply := <-answer:
+		return reply, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Relay probes a third VM on behalf of another.
+func (c *Control) Relay(ctx context.Context, w *pb.RelayRequest) (*pb.ProbeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return c.peers.Fresh(w.GetAddress()).Probe(ctx, &pb.ProbeRequest{Self: w.GetSelf()})
+}
+
+// answerProbe replies to a probe by another VM.
+func (c *Control) answerProbe(m probeReceived, now time.Time) {
+	w := m.request
+	reply := &pb.ProbeReply{Self: c.selfMember(false), Held: c.documents.digest}
+	sender, current := c.learn(w.GetSelf(), now)
+	if sender == nil {
+		reply.Introduce = true
+		m.answer <- reply
+		return
+	}
+	if current {
+		sender.hear(now)
+		c.partings.learn(w.GetPartings(), now)
+		c.answerHeld(sender, w, reply)
+	}
+	if current && w.GetVote() {
+		reply.Roster = c.vote(sender, w.GetRoster(), now)
+	}
+	m.answer <- reply
+}
+
+// vote gives a VM the roster of its domain, without seats when it has them.
+func (c *Control) vote(m *member, digest uint64, now time.Time) *pb.Roster {
+	r := c.roster(m.vm.Domain, now)
+	if r == nil {
+		return nil
+	}
+	m.seat.give(now)
+	if r.GetDigest() == digest {
+		r.Seats = nil
+	}
+	return r
+}
+
+// endProbe takes over what a probed VM has answered.
+func (c *Control) endProbe(e probeEnded, now time.Time) {
+	m, found := c.members.rows[e.vm]
+	if !found {
+		return
+	}
+	m.probe.pending = false
+	if e.reply == nil {
+		return
+	}
+	m.probe.introduced = !e.reply.GetIntroduce()
+	if _, current := c.learn(e.reply.GetSelf(), now); !current || e.reply.GetSelf().GetName() != e.vm {
+		return
+	}
+	m.hear(now)
+	m.told.apply(e.reply.GetRoster(), e.sent)
+	for name, seat := range m.told.seats {
+		if _, known := c.members.rows[name]; !known {
+			c.members.add(drifttable.VM{Name: name, Domain: c.self.Domain, Boot: seat.GetBoot()}, now)
+		}
+	}
+	c.partings.learn(e.reply.GetPartings(), now)
+	c.noteHeld(m, e.reply, now)
+}
+
+// endRelay notes that a silent VM lives.
+func (c *Control) endRelay(e relayEnded, now time.Time) {
+	m, found := c.members.rows[e.vm]
+	if !found || e.reply.GetSelf().GetName() != e.vm {
+		return
+	}
+	if _, current := c.learn(e.reply.GetSelf(), now); current {
+		m.met, m.vouched = true, now
+	}
+}
+
+// learn takes over what a VM says of itself. It returns no member for a VM
+// that has not introduced itself, and whether it is the newest incarnation.
+func (c *Control) learn(w *pb.Member, now time.Time) (m *member, current bool) {
+	m, found := c.members.rows[w.GetName()]
+	if !found {
+		if w.GetPeers() == "" || w.GetDomain() == "" {
+			return nil, false
+		}
+		m = c.members.add(drifttable.VM{Name: w.GetName()}, now)
+	}
+	if w.GetBoot() < m.vm.Boot || w.GetName() == c.self.Name {
+		return m, false
+	}
+	if w.GetPeers() != "" && !m.vm.Listed {
+		m.vm.Domain, m.vm.Callers, m.vm.Peers = w.GetDomain(), w.GetCallers(), w.GetPeers()
+	}
+	if w.GetBoot() > m.vm.Boot {
+		m.vm.Boot = w.GetBoot()
+		m.seat.restart(now)
+		m.told = statement{}
+		m.probe.introduced = false
+		c.members.number++
+	}
+	if drifttable.Health(w.GetHealth()) == drifttable.Leaving && m.departed < w.GetBoot() {
+		m.departed = w.GetBoot()
+		c.members.number++
+		c.events.Record(driftevent.VMLeaving, "", m.vm.Name, "announced")
+	}
+	if m.fenced != w.GetFenced() {
+		m.fenced = w.GetFenced()
+		c.members.number++
+	}
+	return m, true
+}
+
+// watchMembers chooses the VMs that this one probes: all of a small fleet, a
+// bounded number of a larger one.
+func (c *Control) watchMembers(now time.Time) {
+	if c.watchedNumber == c.members.number && now.Before(c.watchDue) {
+		return
+	}
+	c.watchedNumber, c.watchDue = c.members.number, now.Add(time.Second)
+	voters := c.electorate(c.self.Name).weights
+	near := c.domainVMs(c.self.Domain)
+	all := len(c.members.names) <= smallFleet
+	far := c.farTargets()
+	for name, m := range c.members.rows {
+		_, votes := voters[name]
+		m.probe.interval = watchInterval
+		if votes {
+			m.probe.interval = voterInterval
+		}
+		nearby := len(near) <= smallDomain && m.vm.Domain == c.self.Domain
+		watched := all || votes || nearby || !m.doubted.IsZero() || slices.Contains(far, name)
+		if watched && !m.watched {
+			m.heard = now
+		}
+		m.watched = watched
+	}
+}
+
+// farTargets returns a few VMs of other domains to probe for a while.
+func (c *Control) farTargets() []string {
+	if len(c.members.listed) == 0 {
+		return nil
+	}
+	var far []string
+	for range maxFar {
+		name := c.members.listed[c.random.IntN(len(c.members.listed))]
+		far = append(far, name)
+	}
+	return far
+}
+
+// Sizes of the set of probed VMs.
+const (
+	// smallFleet is the number of VMs up to which each VM probes all.
+	smallFleet = 16
+	// maxFar is how many VMs anywhere are probed besides the near ones.
+	maxFar = 3
+)
--- /dev/null
+++ b/internal/driftcontrol/seat.go
@@ -0,0 +1,131 @@
+package driftcontrol
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	pb "github.com/almonddrift/almonddrift/internal/driftpeer/driftpeerpb"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+)
+
+// lease is how long an answer to a probe binds the VM that gave it, counted
+// from the moment at which the probe was sent.
+const lease = 1200 * time.Millisecond
+
+// seatState is what this VM tells others of one VM.
+type seatState int
+
+const (
+	// absent: the VM may not own; others may take its upstreams.
+	absent seatState = iota
+	// joining: the VM may not own yet; others may no longer take over.
+	joining
+	// granted: the VM may own.
+	granted
+	// retiring: the VM gets no new lease; its last one may still run.
+	retiring
+)
+
+// seat is this VM's vote on another VM. Between absent and granted lies one
+// lease, so that no two VMs hold contrary answers of this one.
+type seat struct {
+	state seatState
+	// since is when joining or retiring began, or the last grant was given.
+	since time.Time
+}
+
+// step moves the seat towards the wanted state.
+func (s *seat) step(wanted bool, now time.Time) {
+	over := now.Sub(s.since) > lease
+	switch s.state {
+	case absent:
+		if wanted {
+			s.state, s.since = joining, now
+		}
+	case joining:
+		if !wanted {
+			s.state = absent
+		} else if over {
+			s.state = granted
+		}
+	case granted:
+		if !wanted {
+			s.state = retiring
+		}
+	case retiring:
+		if wanted {
+			s.state = granted
+		} else if over {
+			s.state = absent
+		}
+	}
+}
+
+// restart takes the seat through joining again: the VM has a new incarnation.
+func (s *seat) restart(now time.Time) {
+	if s.state != absent {
+		s.state, s.since = joining, now
+	}
+}
+
+// give notes that a lease is given to the VM of the seat.
+func (s *seat) give(now time.Time) {
+	if s.state == granted {
+		s.since = now
+	}
+}
+
+// stepSeats runs the seats of all VMs.
+func (c *Control) stepSeats(now time.Time) {
+	if now.Sub(c.started) < lease {
+		return
+	}
+	for _, m := range c.members.rows {
+		if m.leaving() && m.departed != 0 {
+			m.seat.state = absent
+			continue
+		}
+		m.seat.step(c.fit(m, now), now)
+	}
+}
+
+// fit reports whether this VM would let another own upstreams.
+func (c *Control) fit(m *member, now time.Time) bool {
+	if !m.met || m.vm.Out || now.Before(m.ready) {
+		return false
+	}
+	return m.vm.Health == drifttable.Alive || m.vm.Health == drifttable.Suspect
+}
+
+// roster returns this VM's votes on the VMs of a domain, nil while it has not
+// run for a lease: an earlier incarnation may have given contrary ones.
+func (c *Control) roster(domain string, now time.Time) *pb.Roster {
+	if now.Sub(c.started) < lease {
+		return nil
+	}
+	r := &pb.Roster{}
+	for _, name := range c.members.names {
+		m := c.members.rows[name]
+		if m.vm.Domain != domain || m.seat.state == absent {
+			continue
+		}
+		r.Seats = append(r.Seats, &pb.Seat{Name: name, Boot: m.vm.Boot, Granted: m.seat.state == granted})
+	}
+	r.Digest = rosterDigest(r.GetSeats())
+	return r
+}
+
+func rosterDigest(seats []*pb.Seat) uint64 {
+	d := xxhash.New()
+	for _, s := range seats {
+		state := s.GetBoot() << 1
+		if s.GetGranted() {
+			state++
+		}
+		_, _ = d.WriteString(s.GetName())
+		_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, state))
+	}
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/driftcontrol/seat_test.go
@@ -0,0 +1,52 @@
+package driftcontrol
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// answer is what a VM told at a moment, true for a lease and false for an
+// omission from the roster.
+type answer struct {
+	at      time.Time
+	granted bool
+}
+
+// TestSeatNeverContradicts asserts that between a lease and an omission, in
+// either order, lies at least one lease: no two VMs can hold both.
+func TestSeatNeverContradicts(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var (
+			s    seat
+			last = []answer{}
+			now  = time.Unix(0, 0)
+		)
+		for range rapid.IntRange(1, 60).Draw(r, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(r, "gap")) * time.Millisecond)
+			switch rapid.SampledFrom([]string{"step", "step", "restart"}).Draw(r, "kind") {
+			case "restart":
+				s.restart(now)
+			default:
+				s.step(rapid.Bool().Draw(r, "wanted"), now)
+			}
+			if s.state == joining || s.state == retiring {
+				continue
+			}
+			s.give(now)
+			last = append(last, answer{at: now, granted: s.state == granted})
+			assertApart(r, last)
+		}
+	})
+}
+
+// assertApart compares the newest answer with all contrary ones.
+func assertApart(r *rapid.T, answers []answer) {
+	newest := answers[len(answers)-1]
+	for _, a := range answers {
+		if a.granted != newest.granted && newest.at.Sub(a.at) < lease {
+			r.Fatalf("granted %t at %s and %t at %s", a.granted, a.at, newest.granted, newest.at)
+		}
+	}
+}
--- /dev/null
+++ b/internal/driftcontrol/view.go
@@ -0,0 +1,83 @@
+package driftcontrol
+
+import (
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+)
+
+// tableCache holds the parts of a view that change with the documents, and
+// the VMs of the view before.
+type tableCache struct {
+	view drifttable.View
+	// number grows with every change.
+	number    uint64
+	documents uint64
+	partings  int
+	members   uint64
+}
+
+// publish runs the systems over the tables and publishes the view.
+func (c *Control) publish(now time.Time) {
+	c.markMembers(now)
+	c.judgeMembers(now)
+	c.stepSeats(now)
+	c.judgeFence(now)
+	c.refreshTables(now)
+	c.number++
+	v := c.tables.view
+	v.Number, v.Made, v.Fenced = c.number, now, c.fenced
+	v.Owners = c.chooseOwners(v.Upstreams, now)
+	v.Contact = c.contact
+	c.views.Publish(v)
+	if !c.fenced {
+		c.members.rows[c.self.Name].seat.give(now)
+	}
+}
+
+// judgeFence decides whether this VM may act as an owner.
+func (c *Control) judgeFence(now time.Time) {
+	fenced := !c.entitled(now)
+	if fenced == c.fenced {
+		return
+	}
+	c.fenced = fenced
+	c.members.number++
+	code := driftevent.VMUnfenced
+	if fenced {
+		code = driftevent.VMFenced
+	}
+	c.events.Record(code, "", c.self.Name, "")
+}
+
+// refreshTables rebuilds the tables that have changed.
+func (c *Control) refreshTables(now time.Time) {
+	t := &c.tables
+	if t.documents != c.documents.changes || t.partings != len(c.partings.rows) {
+		t.documents = c.documents.changes
+		t.number++
+		c.documents.fill(&t.view)
+		c.markTables(now)
+		t.partings = len(c.partings.rows)
+	}
+	if t.members != c.members.number {
+		t.members = c.members.number
+		t.view.VMs = drifttable.NewTable(c.members.vms()...)
+	}
+}
+
+// markTables applies marks and partings to the tables of documents.
+func (c *Control) markTables(now time.Time) {
+	v := &c.tables.view
+	domains := make([]drifttable.Domain, 0, v.Domains.Len())
+	for d := range v.Domains.All() {
+		domains = append(domains, c.markDomain(d, now))
+	}
+	v.Domains = drifttable.NewTable(domains...)
+	upstreams := make([]drifttable.Upstream, 0, v.Upstreams.Len())
+	for u := range v.Upstreams.All() {
+		upstreams = append(upstreams, c.partUpstream(u, now))
+	}
+	v.Upstreams = drifttable.NewTable(upstreams...)
+}
--- /dev/null
+++ b/internal/driftcontrol/vote.go
@@ -0,0 +1,196 @@
+package driftcontrol
+
+import (
+	"time"
+
+	pb "github.com/almonddrift/almonddrift/internal/driftpeer/driftpeerpb"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+)
+
+// OwnerFresh is the age of a view up to which its owners may be acted on. A
+// view names this VM as an owner only while its leases last longer.
+const OwnerFresh = 400 * time.Millisecond
+
+// smallDomain is the number of VMs up to which all VMs of a domain vote on
+// one another.
+const smallDomain = 9
+
+// ringVoters is the number of VMs that vote on one VM of a larger domain,
+// itself included.
+const ringVoters = 5
+
+// maxTieVoters is how many VMs of other domains break ties.
+const maxTieVoters = 6
+
+// statement is the roster that another VM has told this one.
+type statement struct {
+	digest uint64
+	seats  map[string]*pb.Seat
+	until  time.Time
+}
+
+// apply takes over a roster that answers a probe sent at the given moment.
+func (s *statement) apply(r *pb.Roster, sent time.Time) {
+	if r == nil {
+		return
+	}
+	if len(r.GetSeats()) > 0 || r.GetDigest() != s.digest {
+		s.seats = make(map[string]*pb.Seat, len(r.GetSeats()))
+		for _, seat := range r.GetSeats() {
+			s.seats[seat.GetName()] = seat
+		}
+		s.digest = rosterDigest(r.GetSeats())
+	}
+	if s.digest == r.GetDigest() {
+		s.until = sent.Add(lease)
+	}
+}
+
+// holds reports whether the roster still binds for as long as a view is used.
+func (s *statement) holds(now time.Time) bool {
+	return !s.until.Before(now.Add(OwnerFresh))
+}
+
+// electorate is who votes on a VM: weights by name, and their sum.
+type electorate struct {
+	weights map[string]int
+	total   int
+}
+
+func (e *electorate) add(name string, weight int) {
+	e.weights[name] = weight
+	e.total += weight
+}
+
+// wins reports whether the weight is more than half.
+func (e *electorate) wins(weight int) bool {
+	return 2*weight > e.total
+}
+
+// electorate returns who votes on a VM of this VM's domain. In a small domain
+// all its listed VMs do. When their number is even, VMs of other domains and
+// at last the first name break a tie. In a larger domain the next VMs of the
+// ring vote.
+func (c *Control) electorate(subject string) electorate {
+	e := electorate{weights: make(map[string]int)}
+	own := c.domainVMs(c.self.Domain)
+	if len(own) > smallDomain {
+		for _, name := range ring(own, subject, ringVoters) {
+			e.add(name, 1)
+		}
+		return e
+	}
+	var ties []string
+	if len(own)%2 == 0 {
+		ties = c.tieVoters()
+	}
+	for i, name := range own {
+		weight := 2 * (len(ties) + 1)
+		if i == 0 {
+			weight++
+		}
+		e.add(name, weight)
+	}
+	for _, name := range ties {
+		e.add(name, 2)
+	}
+	return e
+}
+
+// domainVMs returns the listed VMs of a domain in order; the known ones while
+// none is listed.
+func (c *Control) domainVMs(domain string) []string {
+	var listed, known []string
+	for _, name := range c.members.names {
+		m := c.members.rows[name]
+		if m.vm.Domain != domain {
+			continue
+		}
+		known = append(known, name)
+		if m.vm.Listed {
+			listed = append(listed, name)
+		}
+	}
+	if len(listed) == 0 {
+		return known
+	}
+	return listed
+}
+
+// tieVoters returns the VMs of other domains that break ties in this VM's.
+func (c *Control) tieVoters() []string {
+	var others []string
+	for _, name := range c.members.listed {
+		if c.members.rows[name].vm.Domain != c.self.Domain {
+			others = append(others, name)
+		}
+	}
+	ranked := drifttable.Rank("tie/"+c.self.Domain, others)
+	return ranked[:min(len(ranked), maxTieVoters)]
+}
+
+// ring returns the subject and the names that follow it, count in all.
+func ring(names []string, subject string, count int) []string {
+	start := 0
+	for i, name := range names {
+		if name <= subject {
+			start = i
+		}
+	}
+	voters := make([]string, 0, count)
+	for i := range min(count, len(names)) {
+		voters = append(voters, names[(start+i)%len(names)])
+	}
+	return voters
+}
+
+// entitled reports whether enough VMs let this one own upstreams for as long
+// as a view is used.
+func (c *Control) entitled(now time.Time) bool {
+	if c.leaving {
+		return false
+	}
+	e := c.electorate(c.self.Name)
+	weight := 0
+	for name, w := range e.weights {
+		if c.grantsSelf(name, now) {
+			weight += w
+		}
+	}
+	return e.wins(weight)
+}
+
+func (c *Control) grantsSelf(voter string, now time.Time) bool {
+	m := c.members.rows[voter]
+	if voter == c.self.Name {
+		return m.seat.state == granted
+	}
+	seat, found := m.told.seats[c.self.Name]
+	return m.told.holds(now) && found && seat.GetGranted() && seat.GetBoot() == c.self.Boot
+}
+
+// excluded reports whether enough VMs have bound themselves not to let the
+// subject own upstreams for as long as a view is used.
+func (c *Control) excluded(subject string, now time.Time) bool {
+	e := c.electorate(subject)
+	weight := 0
+	for name, w := range e.weights {
+		if c.excludes(name, subject, now) {
+			weight += w
+		}
+	}
+	return e.wins(weight)
+}
+
+func (c *Control) excludes(voter, subject string, now time.Time) bool {
+	m, departed := c.members.rows[voter], c.members.rows[subject].departed
+	if voter == c.self.Name {
+		s := c.members.rows[subject].seat
+		return s.state == absent && now.Sub(c.started) >= lease
+	}
+	if !m.told.holds(now) {
+		return false
+	}
+	seat, found := m.told.seats[subject]
+	return !found || (departed != 0 && seat.GetBoot() <= departed)
+}
--- a/internal/driftnode/node.go
+++ b/internal/driftnode/node.go
@@ -42,6 +42,8 @@
 	Checker   *driftcheck.Checker
 	// Life is how long callers may keep the list of entry VMs.
 	Life time.Duration
+	// Options change the control plane; tests pause it by one.
+	Options []driftcontrol.Option
 }
 
 // Node is one VM of the system without its sockets.
@@ -57,10 +59,11 @@
 // New returns a node. Run starts it.
 func New(p Parts) *Node {
 	n := &Node{Parts: p}
-	n.Control = driftcontrol.New(p.Self, p.Config, p.Lister, p.Transport, p.Events, p.Checker)
+	n.Control = driftcontrol.New(p.Self, p.Config, p.Lister, p.Transport, p.Events, p.Checker, p.Options...)
 	views := n.Control.Views()
 	handover := driftpeer.NewHandoverClient(views, p.Transport)
-	n.Owner = driftowner.New(views, p.Dialer, handover, n.Control, p.Events, p.Checker)
+	n.Owner = driftowner.New(views, p.Dialer, handover, n.Control, p.Events, p.Checker,
+		driftowner.WithFresh(driftcontrol.OwnerFresh))
 	router := driftpeer.NewRouter(views, n.Owner, p.Transport, n.Control)
 	n.Front = driftfront.New(views, router, p.Events, p.Checker)
 	n.Steer = driftsteer.New(views, p.Life)
--- a/internal/driftserve/ops.go
+++ b/internal/driftserve/ops.go
@@ -32,7 +32,7 @@
 
 // readiness is 200 once a fresh view has classes and this VM may serve.
 func readiness(v *drifttable.View) int {
-	if v.Age(time.Now()) > readyAge || v.Classes.Len() == 0 || v.VMOut(v.Self) {
+	if v.Age(time.Now()) > readyAge || v.Classes.Len() == 0 || v.VMOut(v.Self) || !v.Settled(time.Now()) {
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusOK
--- a/internal/drifttable/view.go
+++ b/internal/drifttable/view.go
@@ -31,6 +31,9 @@
 	// Fenced is set while this VM cannot tell whether it still owns its
 	// upstreams. A fenced VM dispatches nothing.
 	Fenced bool
+	// Contact is when the configuration service last answered this VM or one
+	// that passed its documents on. It is zero before the first answer.
+	Contact time.Time
 
 	Domains   Table[Domain]
 	VMs       Table[VM]
@@ -96,6 +99,26 @@
 	return now.Sub(v.Made)
 }
 
+// ConfigAge returns how long ago the configuration service was last heard.
+func (v *View) ConfigAge(now time.Time) time.Duration {
+	return now.Sub(v.Contact)
+}
+
+// Settled reports whether this VM may act as an owner and no upstream that it
+// owns waits for an earlier owner.
+func (v *View) Settled(now time.Time) bool {
+	if v.Fenced {
+		return false
+	}
+	for o := range v.Owners.All() {
+		first := len(o.Candidates) > 0 && o.Candidates[0] == v.Self
+		if first && (o.Name == "" || now.Before(o.Hold)) {
+			return false
+		}
+	}
+	return true
+}
+
 // Holder passes the newest View from the control goroutine to traffic.
 type Holder struct {
 	current atomic.Pointer[View]
--- /dev/null
+++ b/internal/drifttest/exclusive_test.go
@@ -0,0 +1,179 @@
+package drifttest
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"github.com/almonddrift/almonddrift/internal/driftcontrol"
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+)
+
+// fault is one step of a drawn script.
+type fault struct {
+	kind  string
+	vm    string
+	other string
+	side  []string
+	wait  time.Duration
+}
+
+func vmNames() []string {
+	names := make([]string, 0, vmCount)
+	for i := range vmCount {
+		names = append(names, name(i))
+	}
+	return names
+}
+
+func drawFault(t *rapid.T) fault {
+	return fault{
+		kind: rapid.SampledFrom([]string{
+			"cut", "cut", "oneway", "split", "heal", "pause", "resume", "kill", "start", "leave", "slow", "slow", "none",
+		}).Draw(t, "kind"),
+		vm:    rapid.SampledFrom(vmNames()).Draw(t, "vm"),
+		other: rapid.SampledFrom(vmNames()).Draw(t, "other"),
+		side:  rapid.SliceOfNDistinct(rapid.SampledFrom(vmNames()), 1, vmCount/2, rapid.ID).Draw(t, "side"),
+		wait:  time.Duration(rapid.IntRange(10, 3000).Draw(t, "wait")) * time.Millisecond,
+	}
+}
+
+// script runs faults on a fleet and samples who claims which upstream.
+type script struct {
+	*Fleet
+	stopped map[string]bool
+	failure string
+}
+
+func (s *script) apply(f fault) {
+	switch f.kind {
+	case "cut":
+		s.Split([]string{f.vm}, []string{f.other}, f.vm != f.other)
+	case "oneway":
+		s.Network.Cut(f.vm, f.other, f.vm != f.other)
+	case "split":
+		s.Split(f.side, without(vmNames(), f.side...), true)
+	case "heal":
+		s.Split(vmNames(), vmNames(), false)
+	case "pause":
+		s.Pause(f.vm)
+	case "resume":
+		s.Resume(f.vm)
+	case "kill":
+		s.stop(f.vm)
+	case "start":
+		s.start(f.vm)
+	case "slow":
+		s.Slow(f.wait/10, uint64(f.wait))
+	case "leave":
+		s.Nodes[f.vm].Control.Leave(s.t.Context())
+	}
+}
+
+func (s *script) stop(vm string) {
+	if !s.stopped[vm] {
+		s.Kill(vm)
+		s.stopped[vm] = true
+	}
+}
+
+func (s *script) start(vm string) {
+	s.stop(vm)
+	s.Start(vm)
+	s.stopped[vm] = false
+}
+
+// run lets time pass and samples.
+func (s *script) run(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(19 * time.Millisecond) {
+		s.claims()
+	}
+}
+
+// claims returns who may dispatch to which upstream by a view that is fresh,
+// whether its hold is past or not, and notes an upstream that two may.
+func (s *script) claims() map[string]string {
+	claims := make(map[string]string)
+	for _, vm := range vmNames() {
+		v := s.Nodes[vm].Views().Load()
+		if s.stopped[vm] || v.Fenced || v.Age(time.Now()) > driftcontrol.OwnerFresh {
+			continue
+		}
+		for o := range v.Owners.All() {
+			if o.Name != vm {
+				continue
+			}
+			if other, found := claims[o.Upstream]; found && s.failure == "" {
+				s.failure = fmt.Sprintf("%s and %s both own %s", other, vm, o.Upstream)
+			}
+			claims[o.Upstream] = vm
+		}
+	}
+	return claims
+}
+
+func without(names []string, gone ...string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return slices.Contains(gone, n) })
+}
+
+// recoveryTime is how long after the last fault every upstream must have an
+// owner again: the longest delay of a VM that flapped as often as a script
+// allows.
+const recoveryTime = 45 * time.Second
+
+// TestOneOwner draws faults of the network and of VMs, any at any moment, and
+// asserts that no two VMs ever own an upstream and that all owners are back
+// after the last fault.
+func TestOneOwner(t *testing.T) {
+	for _, size := range []driftfake.Size{driftfake.Oshana(), driftfake.Tacada()} {
+		t.Run(size.Service, func(t *testing.T) {
+			rapid.Check(t, func(r *rapid.T) {
+				faults := rapid.SliceOfN(rapid.Custom(drawFault), 1, 10).Draw(r, "faults")
+				var failure string
+				synctest.Test(t, func(t *testing.T) { failure = runFaults(t, size, faults) })
+				if failure != "" {
+					r.Fatal(failure)
+				}
+			})
+		})
+	}
+}
+
+func runFaults(t *testing.T, size driftfake.Size, faults []fault) string {
+	t.Helper()
+	s := &script{Fleet: NewFleet(t, size), stopped: make(map[string]bool)}
+	for _, f := range faults {
+		s.apply(f)
+		s.run(f.wait)
+	}
+	s.Split(vmNames(), vmNames(), false)
+	s.Slow(0, 0)
+	for _, vm := range vmNames() {
+		s.Resume(vm)
+		if s.stopped[vm] || s.Nodes[vm].Views().Load().VMOut(vm) {
+			s.start(vm)
+		}
+	}
+	s.run(recoveryTime)
+	if owned := len(s.claims()); s.failure == "" && owned != len(s.Upstreams) {
+		return fmt.Sprintf("%d of %d upstreams have an owner", owned, len(s.Upstreams))
+	}
+	return s.failure
+}
+
+// TestLostVM asserts the bound on the time for which the
+// upstreams of a lost VM have no owner.
+func TestLostVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{Fleet: NewFleet(t, driftfake.Oshana()), stopped: make(map[string]bool)}
+		s.stop("vm-1")
+		s.run(3 * time.Second)
+		assert.Empty(t, s.failure)
+		assert.Len(t, s.claims(), len(s.Upstreams))
+	})
+}
--- a/internal/drifttest/fleet.go
+++ b/internal/drifttest/fleet.go
@@ -12,10 +12,13 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/almonddrift/almonddrift/internal/driftcheck"
+	"github.com/almonddrift/almonddrift/internal/driftcontrol"
 	"github.com/almonddrift/almonddrift/internal/driftdocument"
 	"github.com/almonddrift/almonddrift/internal/driftevent"
 	"github.com/almonddrift/almonddrift/internal/driftfake"
@@ -50,7 +53,46 @@
 	t       *testing.T
 	domains map[string]string
 	cancels map[string]context.CancelFunc
+	gates   map[string]*gate
 	boot    uint64
+	slow    slowness
+}
+
+// gate stops the control plane of a VM as a pause of its process does.
+type gate struct {
+	mu     sync.Mutex
+	opened chan struct{}
+}
+
+// pass waits while the gate is closed.
+func (g *gate) pass(ctx context.Context) {
+	g.mu.Lock()
+	opened := g.opened
+	g.mu.Unlock()
+	if opened == nil {
+		return
+	}
+	select {
+	case <-opened:
+	case <-ctx.Done():
+	}
+}
+
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened == nil {
+		g.opened = make(chan struct{})
+	}
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened != nil {
+		close(g.opened)
+		g.opened = nil
+	}
 }
 
 // NewFleet starts a fleet and lets it settle. The fleet stops with the test.
@@ -60,6 +102,7 @@
 		Size: size, Platform: driftfake.NewPlatform(), Upstreams: size.Upstreams(1),
 		Nodes: make(map[string]*driftnode.Node), t: t,
 		domains: make(map[string]string), cancels: make(map[string]context.CancelFunc),
+		gates: make(map[string]*gate),
 	}
 	f.Dialer = driftfake.NewDialer(f.Upstreams...)
 	f.Network = driftfake.NewNetwork(f.delay)
@@ -80,10 +123,37 @@
 }
 
 func (f *Fleet) delay(from, to string) time.Duration {
+	extra := f.slow.draw()
 	if f.domains[from] == f.domains[to] {
-		return nearDelay
+		return nearDelay + extra
 	}
-	return farDelay
+	return farDelay + extra
+}
+
+// Slow delays every message between VMs by up to the given time more, drawn
+// from the seed.
+func (f *Fleet) Slow(most time.Duration, seed uint64) { f.slow.set(most, seed) }
+
+// slowness draws the further delay of a message.
+type slowness struct {
+	mu     sync.Mutex
+	most   time.Duration
+	random *rand.Rand
+}
+
+func (s *slowness) set(most time.Duration, seed uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.most, s.random = most, rand.New(rand.NewPCG(seed, seed))
+}
+
+func (s *slowness) draw() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.most == 0 {
+		return 0
+	}
+	return time.Duration(s.random.Int64N(int64(s.most)))
 }
 
 func (f *Fleet) publish() {
@@ -119,10 +189,12 @@
 	checker := driftcheck.NewChecker(events, driftcheck.WithViolation(func(v driftcheck.Violation) {
 		f.t.Errorf("%s: promise %s violated by request %q: %s", vm, v.Promise, v.Request, v.Detail)
 	}))
+	f.gates[vm] = &gate{}
 	node := driftnode.New(driftnode.Parts{
 		Self:   drifttable.VM{Name: vm, Domain: f.domains[vm], Boot: f.boot, Callers: vm, Peers: vm},
 		Config: f.Platform, Lister: f.Platform, Transport: f.Network.Transport(vm),
 		Dialer: f.Dialer, Events: events, Checker: checker, Life: 10 * time.Second,
+		Options: []driftcontrol.Option{driftcontrol.WithGate(f.gates[vm].pass)},
 	})
 	ctx, cancel := context.WithCancel(f.t.Context())
 	f.cancels[vm] = cancel
@@ -138,6 +210,26 @@
 	f.cancels[vm]()
 }
 
+// Pause stops the control plane of a VM, as a pause of its process does; its
+// traffic goes on with the view that it has.
+func (f *Fleet) Pause(vm string) { f.gates[vm].close() }
+
+// Resume ends a pause.
+func (f *Fleet) Resume(vm string) { f.gates[vm].open() }
+
+// Split cuts all links between two groups of VMs, or heals them.
+func (f *Fleet) Split(side, other []string, cut bool) {
+	for _, a := range side {
+		for _, b := range other {
+			f.Network.Cut(a, b, cut)
+			f.Network.Cut(b, a, cut)
+		}
+	}
+}
+
+// Domain returns the failure domain of a VM.
+func (f *Fleet) Domain(vm string) string { return f.domains[vm] }
+
 // Query sends a query to a VM and waits for the outcome.
 func (f *Fleet) Query(vm string, q driftapi.Query) driftfront.Outcome {
 	return f.Nodes[vm].Front.Query(f.t.Context(), q)
