--- a/internal/driftcontrol/seat.go
+++ b/internal/driftcontrol/seat.go
@@ -26,6 +26,9 @@
 	granted
 	// retiring: the VM gets no new lease; its last one may still run.
 	retiring
+	// renewing: the VM has a new incarnation while the lease of the earlier
+	// one may still run.
+	renewing
 )
 
 // seat is this VM's vote on another VM. Between absent and granted lies one
@@ -54,6 +57,12 @@
 		if !wanted {
 			s.state = retiring
 		}
+	case renewing:
+		if over && wanted {
+			s.state, s.since = granted, now
+		} else if over {
+			s.state = absent
+		}
 	case retiring:
 		if wanted {
 			s.state = granted
@@ -63,10 +72,14 @@
 	}
 }
 
-// restart takes the seat through joining again: the VM has a new incarnation.
+// restart withdraws the seat for one lease: the VM has a new incarnation.
 func (s *seat) restart(now time.Time) {
-	if s.state != absent {
-		s.state, s.since = joining, now
+	switch s.state {
+	case absent:
+	case joining:
+		s.since = now
+	default:
+		s.state, s.since = renewing, now
 	}
 }
 
--- a/internal/driftnode/node.go
+++ b/internal/driftnode/node.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -26,6 +27,8 @@
 	"github.com/almonddrift/almonddrift/internal/driftowner"
 	"github.com/almonddrift/almonddrift/internal/driftpeer"
 	"github.com/almonddrift/almonddrift/internal/driftplatform"
+	"github.com/almonddrift/almonddrift/internal/driftshard"
+	"github.com/almonddrift/almonddrift/internal/driftstatus"
 	"github.com/almonddrift/almonddrift/internal/driftsteer"
 	"github.com/almonddrift/almonddrift/internal/drifttable"
 	"github.com/almonddrift/almonddrift/internal/driftupstream"
@@ -42,8 +45,10 @@
 	Checker   *driftcheck.Checker
 	// Life is how long callers may keep the list of entry VMs.
 	Life time.Duration
-	// Options change the control plane; tests pause it by one.
-	Options []driftcontrol.Option
+	// ControlOptions change the control plane.
+	ControlOptions []driftcontrol.Option
+	// FrontOptions change the policies of the front.
+	FrontOptions []driftfront.Option
 }
 
 // Node is one VM of the system without its sockets.
@@ -59,13 +64,16 @@
 // New returns a node. Run starts it.
 func New(p Parts) *Node {
 	n := &Node{Parts: p}
-	n.Control = driftcontrol.New(p.Self, p.Config, p.Lister, p.Transport, p.Events, p.Checker, p.Options...)
+	n.Control = driftcontrol.New(p.Self, p.Config, p.Lister, p.Transport, p.Events, p.Checker, p.ControlOptions...)
 	views := n.Control.Views()
 	handover := driftpeer.NewHandoverClient(views, p.Transport)
-	n.Owner = driftowner.New(views, p.Dialer, handover, n.Control, p.Events, p.Checker,
-		driftowner.WithFresh(driftcontrol.OwnerFresh))
+	relay := driftpeer.NewRouter(views, nil, p.Transport, n.Control)
+	n.Owner = driftowner.New(
+		views, p.Dialer, handover, n.Control, p.Events, p.Checker, driftowner.WithRelay(relay),
+		driftowner.WithFresh(driftcontrol.OwnerFresh),
+	)
 	router := driftpeer.NewRouter(views, n.Owner, p.Transport, n.Control)
-	n.Front = driftfront.New(views, router, p.Events, p.Checker)
+	n.Front = driftfront.New(views, router, p.Events, p.Checker, p.FrontOptions...)
 	n.Steer = driftsteer.New(views, p.Life)
 	n.Server = driftpeer.NewServer(
 		p.Self.Name, p.Self.Boot, n.Control, n.Owner, n.Owner, p.Events, n,
@@ -81,6 +89,10 @@
 		n.Owner.Run(ctx)
 		return nil
 	})
+	group.Go(func() error {
+		n.Front.Run(ctx)
+		return nil
+	})
 	return group.Wait()
 }
 
@@ -89,7 +101,23 @@
 	return n.Control.Views()
 }
 
+// Status returns what this VM sees.
+func (n *Node) Status() driftstatus.Report {
+	s := driftstatus.Sources{
+		View: n.Views().Load(), Boot: n.Self.Boot, Config: -time.Millisecond,
+		Violations: n.Checker.Violations(),
+	}
+	if r, ok := any(n.Owner).(driftshard.LaneReporter); ok {
+		s.Lanes = r.Lanes()
+	}
+	return driftstatus.NewReport(s, time.Now())
+}
+
 // Report implements driftpeer.Reporter.
 func (n *Node) Report() []byte {
-	return []byte("{}")
+	body, err := json.Marshal(n.Status())
+	if err != nil {
+		return []byte("{}")
+	}
+	return body
 }
