--- a/internal/driftcontrol/seat.go
+++ b/internal/driftcontrol/seat.go
@@ -41,34 +41,30 @@
 
 // step moves the seat towards the wanted state.
 func (s *seat) step(wanted bool, now time.Time) {
-	over := now.Sub(s.since) > lease
+	if now.Sub(s.since) > lease {
+		s.settle(wanted, now)
+	}
+	switch {
+	case s.state == absent && wanted:
+		s.state, s.since = joining, now
+	case s.state == joining && !wanted:
+		s.state = absent
+	case s.state == granted && !wanted:
+		s.state = retiring
+	case s.state == retiring && wanted:
+		s.state = granted
+	}
+}
+
+// settle ends a change that has lasted for a lease.
+func (s *seat) settle(wanted bool, now time.Time) {
 	switch s.state {
-	case absent:
+	case joining, renewing, retiring:
+		s.state = absent
 		if wanted {
-			s.state, s.since = joining, now
-		}
-	case joining:
-		if !wanted {
-			s.state = absent
-		} else if over {
-			s.state = granted
-		}
-	case granted:
-		if !wanted {
-			s.state = retiring
-		}
-	case renewing:
-		if over && wanted {
 			s.state, s.since = granted, now
-		} else if over {
-			s.state = absent
-		}
-	case retiring:
-		if wanted {
-			s.state = granted
-		} else if over {
-			s.state = absent
 		}
+	case absent, granted:
 	}
 }
 
