Read the configuration by a few VMs a domain and exchange it between VMs

Cause: every VM watched every key, and a VM restarted on a stale service went back to old revisions. Change: two readers a key and domain watch; new documents are pushed, and VMs that probe one another pull what they lack. A new VM puts nothing in force before it has heard from another VM or two seconds are past. Invalid revisions are remembered. A service that is down is asked by one reader of a VM at a time, with growing pauses.

--- a/internal/driftcontrol/control.go
+++ b/internal/driftcontrol/control.go
@@ -42,11 +42,14 @@
 	listing  time.Duration
 	gate     func(ctx context.Context)
 	random   *rand.Rand
+	outage   outage
 
 	// The fields below belong to the control goroutine.
 	spawn         func(run func())
 	documents     *documentTable
-	watched       map[string]context.CancelFunc
+	readers       map[string]reader
+	readOnce      map[string]bool
+	fallbackDue   time.Time
 	members       *memberTable
 	owners        ownerTable
 	marks         sinceTable
@@ -64,6 +67,8 @@
 	number        uint64
 	listRead      bool
 	leaving       bool
+	joined        bool
+	unavailable   bool
 	fenced        bool
 }
 
@@ -116,7 +121,8 @@
 		gate:       func(context.Context) {},
 		random:     rand.New(rand.NewPCG(self.Boot, uint64(len(self.Name)))),
 		documents:  newDocumentTable(),
-		watched:    make(map[string]context.CancelFunc),
+		readers:    make(map[string]reader),
+		readOnce:   make(map[string]bool),
 		owners:     newOwnerTable(),
 		marks:      newSinceTable(),
 		partings:   newPartingTable(),
@@ -162,7 +168,6 @@
 	c.start(group)
 	ticker := time.NewTicker(c.tick)
 	defer ticker.Stop()
-	c.watchKeys(ctx, group)
 	for {
 		select {
 		case <-ctx.Done():
@@ -173,8 +178,8 @@
 		case <-ticker.C:
 			c.gate(ctx)
 			c.step(ctx, nil)
+			c.runReaders(ctx, group, c.awake)
 		}
-		c.watchKeys(ctx, group)
 	}
 }
 
@@ -221,7 +226,7 @@
 
 type (
 	// documentRead carries a value of the configuration service.
-	documentRead struct{ value driftplatform.Value }
+	documentRead struct{ parsed parsed }
 	// documentMissed tells that the configuration service did not answer.
 	documentMissed struct {
 		key string
@@ -241,10 +246,15 @@
 func (c *Control) handle(ctx context.Context, m message, now time.Time) {
 	switch m := m.(type) {
 	case documentRead:
-		c.contact = now
-		c.applyDocument(m.value)
+		c.readDocument(ctx, m.parsed, now)
 	case documentMissed:
-		c.events.Record(driftevent.ConfigUnavailable, "", m.key, m.err.Error())
+		c.noteMissed(m)
+	case serviceAnswered:
+		c.noteContact(now)
+	case documentsReceived:
+		c.receiveDocuments(ctx, m)
+	case pullEnded:
+		c.endPull(m)
 	case listRead:
 		c.listRead = true
 		c.members.apply(m.vms, c.self.Name, now)
@@ -253,7 +263,7 @@
 	case probeReceived:
 		c.answerProbe(m, now)
 	case probeEnded:
-		c.endProbe(m, now)
+		c.endProbe(ctx, m, now)
 	case relayEnded:
 		c.endRelay(m, now)
 	case leaveRequested:
--- a/internal/driftcontrol/document.go
+++ b/internal/driftcontrol/document.go
@@ -1,12 +1,12 @@
 package driftcontrol
 
 import (
-	"context"
+	"encoding/binary"
+	"slices"
 	"strconv"
 	"time"
 
-	"github.com/twitchtv/twirp"
-	"golang.org/x/sync/errgroup"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/almonddrift/almonddrift/internal/driftdocument"
 	"github.com/almonddrift/almonddrift/internal/driftevent"
@@ -15,14 +15,6 @@
 	"github.com/almonddrift/almonddrift/internal/drifttable"
 )
 
-// Times of the configuration reader.
-const (
-	// retryRead is the pause after a read that failed or found no value.
-	retryRead = 500 * time.Millisecond
-	// watchLimit is how long a watch may wait before it is made anew.
-	watchLimit = 30 * time.Second
-)
-
 // documentRow is a document in force.
 type documentRow struct {
 	value    driftplatform.Value
@@ -32,22 +24,53 @@
 // documentTable holds the documents in force by their keys.
 type documentTable struct {
 	rows map[string]documentRow
+	// refused are the highest revisions that were invalid.
+	refused map[string]uint64
 	// changes counts the documents that were put, digest identifies their
 	// revisions.
 	changes, digest uint64
 }
 
 func newDocumentTable() *documentTable {
-	return &documentTable{rows: make(map[string]documentRow)}
+	return &documentTable{rows: make(map[string]documentRow), refused: make(map[string]uint64)}
 }
 
 func (t *documentTable) number(key string) uint64 {
 	return t.rows[key].value.Number
 }
 
+// seen returns the highest revision that needs no further read.
+func (t *documentTable) seen(key string) uint64 {
+	return max(t.number(key), t.refused[key])
+}
+
 func (t *documentTable) put(value driftplatform.Value, doc driftdocument.Document) {
 	t.rows[value.Key] = documentRow{value: value, document: doc}
 	t.changes++
+	d := xxhash.New()
+	for _, r := range t.revisions() {
+		_, _ = d.WriteString(r.GetKey())
+		_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, r.GetNumber()))
+	}
+	t.digest = d.Sum64()
+}
+
+// revisions returns the revisions in force in the order of their keys.
+func (t *documentTable) revisions() []*pb.Revision {
+	revisions := make([]*pb.Revision, 0, len(t.rows))
+	for _, key := range sortedKeys(t.rows) {
+		revisions = append(revisions, &pb.Revision{Key: key, Number: t.number(key)})
+	}
+	return revisions
+}
+
+func sortedKeys[V any](rows map[string]V) []string {
+	keys := make([]string, 0, len(rows))
+	for key := range rows {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
 }
 
 // fill copies the documents into the tables of a view.
@@ -86,8 +109,8 @@
 	return d
 }
 
-// keys returns the keys to watch: the fixed ones and two for each service
-// that a class names.
+// keys returns the keys to hold: the fixed ones and two for each service that
+// a class names.
 func (t *documentTable) keys() []string {
 	keys := []string{
 		driftdocument.KeyDomains, driftdocument.KeyClasses, driftdocument.KeyMarks,
@@ -99,83 +122,61 @@
 	return keys
 }
 
-// watchKeys starts a watcher for each key that has none.
-func (c *Control) watchKeys(ctx context.Context, group *errgroup.Group) {
-	for _, key := range c.documents.keys() {
-		if _, found := c.watched[key]; found {
-			continue
-		}
-		ctx, cancel := context.WithCancel(ctx)
-		c.watched[key] = cancel
-		group.Go(func() error {
-			defer cancel()
-			c.watch(ctx, key)
-			return nil
-		})
-	}
+// parsed is a value with the document that it holds, or the error that
+// refuses it.
+type parsed struct {
+	value    driftplatform.Value
+	document driftdocument.Document
+	err      error
 }
 
-// watch follows one key until ctx ends.
-func (c *Control) watch(ctx context.Context, key string) {
-	var held uint64
-	for ctx.Err() == nil {
-		switch r := c.watchOnce(ctx, key, held).(type) {
-		case driftplatform.Found:
-			held = max(held, r.Value.Number)
-			c.tell(ctx, documentRead{value: r.Value})
-		case driftplatform.Unchanged:
-		case driftplatform.Absent:
-			sleep(ctx, retryRead)
-		case driftplatform.Unavailable:
-			c.tell(ctx, documentMissed{key: key, err: r.Err})
-			sleep(ctx, retryRead)
-		}
-	}
+// parse reads a value outside the control goroutine, for large documents take
+// a while.
+func parse(value driftplatform.Value) parsed {
+	document, err := driftdocument.Parse(value.Key, value.Body)
+	return parsed{value: value, document: document, err: err}
 }
 
-func (c *Control) watchOnce(ctx context.Context, key string, held uint64) driftplatform.ConfigResult {
-	if held == 0 {
-		return c.config.Read(ctx, key)
+// applyDocument puts a newer document in force and refuses an invalid one. It
+// reports whether the document is in force now and was not before.
+func (c *Control) applyDocument(p parsed) bool {
+	value := p.value
+	held := c.documents.number(value.Key)
+	if value.Number <= c.documents.seen(value.Key) {
+		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchLimit)
-	defer cancel()
-	return c.config.Watch(ctx, key, held)
+	if p.err != nil {
+		c.documents.refused[value.Key] = value.Number
+		c.events.Record(driftevent.ConfigRefused, "", value.Key, p.err.Error())
+		return false
+	}
+	c.checker.Forward(value.Key, held, value.Number)
+	c.documents.put(value, p.document)
+	c.events.Record(driftevent.ConfigInForce, "", value.Key, revisionText(value.Number))
+	return true
 }
 
-// applyDocument puts a newer document in force and refuses an invalid one.
-func (c *Control) applyDocument(value driftplatform.Value) {
-	held := c.documents.number(value.Key)
-	if value.Number <= held {
+// noteContact notes that the configuration service has answered, here or at
+// another VM.
+func (c *Control) noteContact(at time.Time) {
+	if !at.After(c.contact) {
 		return
 	}
-	doc, err := driftdocument.Parse(value.Key, value.Body)
-	if err != nil {
-		c.events.Record(driftevent.ConfigRefused, "", value.Key, err.Error())
-		return
+	if c.unavailable {
+		c.unavailable = false
+		c.events.Record(driftevent.ConfigRecovered, "", c.self.Name, "")
 	}
-	c.checker.Forward(value.Key, held, value.Number)
-	c.documents.put(value, doc)
-	c.events.Record(driftevent.ConfigInForce, "", value.Key, revisionText(value.Number))
+	c.contact = at
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+// noteMissed notes that the configuration service has not answered this VM.
+func (c *Control) noteMissed(m documentMissed) {
+	if !c.unavailable {
+		c.unavailable = true
+		c.events.Record(driftevent.ConfigUnavailable, "", m.key, m.err.Error())
 	}
 }
 
 func revisionText(number uint64) string {
 	return "revision " + strconv.FormatUint(number, 10)
 }
-
-// Documents exchanges configuration documents with another VM.
-func (c *Control) Documents(context.Context, *pb.DocumentsRequest) (*pb.DocumentsReply, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "documents")
-}
-
-func (c *Control) answerHeld(*member, *pb.ProbeRequest, *pb.ProbeReply) {}
-
-func (c *Control) noteHeld(*member, *pb.ProbeReply, time.Time) {}
--- /dev/null
+++ b/internal/driftcontrol/exchange.go
@@ -0,0 +1,212 @@
+package driftcontrol
+
+import (
+	"context"
+	"time"
+
+	pb "github.com/almonddrift/almonddrift/internal/driftpeer/driftpeerpb"
+	"github.com/almonddrift/almonddrift/internal/driftplatform"
+)
+
+// Times and sizes of the exchange of documents between VMs.
+const (
+	// maxPushes is how many VMs a new document is pushed to.
+	maxPushes = 8
+	// pushTimeout bounds one exchange.
+	pushTimeout = 2 * time.Second
+	// joinLimit is how long a new VM waits for what other VMs hold before it
+	// puts documents in force that only the service has given it.
+	joinLimit = 2 * time.Second
+	// maxReplyBytes is the size of documents after which a reply ends; what is
+	// left follows with the next probe.
+	maxReplyBytes = 4 << 20
+)
+
+type (
+	// documentsReceived are documents that another VM has sent. The reply to
+	// its revisions goes to answer, unless that is nil.
+	documentsReceived struct {
+		documents []parsed
+		held      []*pb.Revision
+		answer    chan<- *pb.DocumentsReply
+	}
+	// pullEnded ends a pull from another VM.
+	pullEnded struct {
+		vm        string
+		documents []parsed
+	}
+	// serviceAnswered tells that the configuration service has answered.
+	serviceAnswered struct{}
+)
+
+func (documentsReceived) message() {}
+func (pullEnded) message()         {}
+func (serviceAnswered) message()   {}
+
+// Documents exchanges configuration documents with another VM.
+func (c *Control) Documents(ctx context.Context, w *pb.DocumentsRequest) (*pb.DocumentsReply, error) {
+	answer := make(chan *pb.DocumentsReply, 1)
+	c.tell(ctx, documentsReceived{
+		documents: c.parseAll(w.GetPushed()), held: w.GetHeld(), answer: answer,
+	})
+	select {
+	case reply := <-answer:
+		return reply, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// parseAll parses the documents that are newer than those in force.
+func (c *Control) parseAll(documents []*pb.Document) []parsed {
+	v := c.views.Load()
+	all := make([]parsed, 0, len(documents))
+	for _, d := range documents {
+		if held, found := v.Revisions.Get(d.GetKey()); found && held.Number >= d.GetNumber() {
+			continue
+		}
+		all = append(all, parse(driftplatform.Value{Key: d.GetKey(), Number: d.GetNumber(), Body: d.GetBody()}))
+	}
+	return all
+}
+
+// receiveDocuments puts documents of another VM in force, passes new ones on,
+// and answers with those that the other VM lacks.
+func (c *Control) receiveDocuments(ctx context.Context, m documentsReceived) {
+	for _, p := range m.documents {
+		if c.applyDocument(p) {
+			c.pushDocument(ctx, p.value)
+		}
+	}
+	m.answer <- &pb.DocumentsReply{Documents: c.newerThan(m.held)}
+}
+
+// newerThan returns the documents that are newer than the given revisions.
+func (c *Control) newerThan(held []*pb.Revision) []*pb.Document {
+	if len(held) == 0 {
+		return nil
+	}
+	numbers := make(map[string]uint64, len(held))
+	for _, r := range held {
+		numbers[r.GetKey()] = r.GetNumber()
+	}
+	var (
+		newer []*pb.Document
+		size  int
+	)
+	for _, key := range sortedKeys(c.documents.rows) {
+		value := c.documents.rows[key].value
+		if value.Number <= numbers[key] || size > maxReplyBytes {
+			continue
+		}
+		size += len(value.Body)
+		newer = append(newer, &pb.Document{Key: key, Number: value.Number, Body: value.Body})
+	}
+	return newer
+}
+
+// pushDocument sends a new document to VMs of this domain, and to one of
+// another.
+func (c *Control) pushDocument(ctx context.Context, value driftplatform.Value) {
+	request := &pb.DocumentsRequest{
+		Pushed: []*pb.Document{{Key: value.Key, Number: value.Number, Body: value.Body}},
+	}
+	for _, address := range c.pushTargets() {
+		c.spawn(func() {
+			ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+			defer cancel()
+			// A push that fails is made up for by the next probe.
+			_, _ = c.peers.Fresh(address).Documents(ctx, request)
+		})
+	}
+}
+
+func (c *Control) pushTargets() []string {
+	var near, far []string
+	for name, m := range c.members.rows {
+		if name == c.self.Name || m.vm.Peers == "" || !m.watched {
+			continue
+		}
+		if m.vm.Domain == c.self.Domain {
+			near = append(near, m.vm.Peers)
+		} else {
+			far = append(far, m.vm.Peers)
+		}
+	}
+	c.random.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	targets := near[:min(len(near), maxPushes)]
+	if len(far) > 0 {
+		targets = append(targets, far[c.random.IntN(len(far))])
+	}
+	return targets
+}
+
+// answerHeld adds this VM's revisions to the reply when the sender holds
+// others.
+func (c *Control) answerHeld(w *pb.ProbeRequest, reply *pb.ProbeReply, now time.Time) {
+	if w.GetHeld() != c.documents.digest {
+		reply.Revisions = c.documents.revisions()
+	}
+	reply.Contact = c.contactAge(now)
+}
+
+// contactAge is how long ago the configuration service was heard, in
+// microseconds plus one; 0 when it never was.
+func (c *Control) contactAge(now time.Time) int64 {
+	if c.contact.IsZero() {
+		return 0
+	}
+	return now.Sub(c.contact).Microseconds() + 1
+}
+
+// noteHeld pulls documents from a VM that holds newer ones.
+func (c *Control) noteHeld(ctx context.Context, m *member, reply *pb.ProbeReply, now time.Time) {
+	if age := reply.GetContact(); age > 0 {
+		c.noteContact(now.Add(-time.Duration(age) * time.Microsecond))
+	}
+	if reply.GetHeld() == c.documents.digest {
+		c.joined = c.joined || len(c.documents.rows) > 0
+		return
+	}
+	behind := false
+	for _, r := range reply.GetRevisions() {
+		behind = behind || r.GetNumber() > c.documents.seen(r.GetKey())
+	}
+	if !behind {
+		c.joined = c.joined || len(reply.GetRevisions()) > 0
+		return
+	}
+	if !m.pulling {
+		m.pulling = true
+		c.pull(ctx, m)
+	}
+}
+
+// pull asks a VM for the documents that are newer than those in force.
+func (c *Control) pull(ctx context.Context, m *member) {
+	name, address := m.vm.Name, m.vm.Peers
+	request := &pb.DocumentsRequest{Held: c.documents.revisions()}
+	if len(request.GetHeld()) == 0 {
+		request.Held = []*pb.Revision{{}}
+	}
+	c.spawn(func() {
+		limited, cancel := context.WithTimeout(ctx, pushTimeout)
+		defer cancel()
+		reply, err := c.peers.Fresh(address).Documents(limited, request)
+		if err != nil {
+			reply = &pb.DocumentsReply{}
+		}
+		c.tell(ctx, pullEnded{vm: name, documents: c.parseAll(reply.GetDocuments())})
+	})
+}
+
+// endPull puts pulled documents in force.
+func (c *Control) endPull(e pullEnded) {
+	if m, found := c.members.rows[e.vm]; found {
+		m.pulling = false
+	}
+	for _, p := range e.documents {
+		c.applyDocument(p)
+	}
+	c.joined = c.joined || len(e.documents) > 0
+}
--- a/internal/driftcontrol/member.go
+++ b/internal/driftcontrol/member.go
@@ -49,6 +49,8 @@
 	seat     seat
 	probe    probing
 	told     statement
+	// pulling is set while documents are asked for.
+	pulling bool
 }
 
 // lastSign returns the last sign of life.
--- a/internal/driftcontrol/probe.go
+++ b/internal/driftcontrol/probe.go
@@ -177,7 +177,7 @@
 	if current {
 		sender.hear(now)
 		c.partings.learn(w.GetPartings(), now)
-		c.answerHeld(sender, w, reply)
+		c.answerHeld(w, reply, now)
 	}
 	if current && w.GetVote() {
 		reply.Roster = c.vote(sender, w.GetRoster(), now)
@@ -199,7 +199,7 @@
 }
 
 // endProbe takes over what a probed VM has answered.
-func (c *Control) endProbe(e probeEnded, now time.Time) {
+func (c *Control) endProbe(ctx context.Context, e probeEnded, now time.Time) {
 	m, found := c.members.rows[e.vm]
 	if !found {
 		return
@@ -220,7 +220,7 @@
 		}
 	}
 	c.partings.learn(e.reply.GetPartings(), now)
-	c.noteHeld(m, e.reply, now)
+	c.noteHeld(ctx, m, e.reply, now)
 }
 
 // endRelay notes that a silent VM lives.
--- /dev/null
+++ b/internal/driftcontrol/reader.go
@@ -0,0 +1,197 @@
+package driftcontrol
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftplatform"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+)
+
+// Times and sizes of the configuration readers.
+const (
+	// retryRead is the pause after a read that failed or found no value. It
+	// doubles up to retryLimit.
+	retryRead  = 250 * time.Millisecond
+	retryLimit = 4 * time.Second
+	// watchLimit is how long a watch may wait before it is made anew.
+	watchLimit = 30 * time.Second
+	// readersPerKey is how many VMs of a domain watch a key.
+	readersPerKey = 2
+	// fallbackAfter is the age of the configuration from which a VM that is
+	// no reader reads for itself, after a further random wait of as long.
+	fallbackAfter = 40 * time.Second
+)
+
+// reader follows one key at the configuration service while this VM is one of
+// the key's readers.
+type reader struct {
+	cancel context.CancelFunc
+}
+
+// runReaders starts and stops the readers of this VM. A new VM reads every
+// key once, whoever the readers are.
+func (c *Control) runReaders(ctx context.Context, group *errgroup.Group, now time.Time) {
+	fallback := c.fallback(now)
+	near := c.readerVMs()
+	for _, key := range c.documents.keys() {
+		running, found := c.readers[key]
+		wanted := slices.Contains(drifttable.Rank(key, near)[:min(len(near), readersPerKey)], c.self.Name)
+		switch {
+		case wanted && !found:
+			c.startReader(ctx, group, key)
+		case !wanted && found:
+			running.cancel()
+			delete(c.readers, key)
+		case !wanted && (fallback || !c.readOnce[key]):
+			c.readOnce[key] = true
+			c.readKey(ctx, group, key)
+		}
+	}
+}
+
+// fallback reports whether the configuration is so old that this VM reads for
+// itself, and sets when it does so next.
+func (c *Control) fallback(now time.Time) bool {
+	if c.fallbackDue.IsZero() || now.Sub(c.contact) < fallbackAfter {
+		wait := fallbackAfter + time.Duration(c.random.Int64N(int64(fallbackAfter)))
+		c.fallbackDue = now.Add(wait)
+		return false
+	}
+	if now.Before(c.fallbackDue) {
+		return false
+	}
+	c.fallbackDue = time.Time{}
+	return true
+}
+
+// readerVMs returns the VMs among which the readers of this domain are.
+func (c *Control) readerVMs() []string {
+	var names []string
+	for _, name := range c.domainVMs(c.self.Domain) {
+		m := c.members.rows[name]
+		if m.vm.Health == drifttable.Alive || name == c.self.Name {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (c *Control) startReader(ctx context.Context, group *errgroup.Group, key string) {
+	ctx, cancel := context.WithCancel(ctx)
+	c.readers[key] = reader{cancel: cancel}
+	held := c.documents.seen(key)
+	group.Go(func() error {
+		defer cancel()
+		c.watch(ctx, key, held)
+		return nil
+	})
+}
+
+// readKey reads a key once.
+func (c *Control) readKey(ctx context.Context, group *errgroup.Group, key string) {
+	group.Go(func() error {
+		c.tellRead(ctx, key, c.config.Read(ctx, key))
+		return nil
+	})
+}
+
+// watch follows one key until ctx ends.
+func (c *Control) watch(ctx context.Context, key string, held uint64) {
+	for ctx.Err() == nil {
+		result := c.watchOnce(ctx, key, held)
+		if ctx.Err() != nil {
+			return
+		}
+		c.tellRead(ctx, key, result)
+		switch r := result.(type) {
+		case driftplatform.Found:
+			held = max(held, r.Value.Number)
+			c.outage.end()
+		case driftplatform.Unchanged:
+			c.outage.end()
+		case driftplatform.Absent:
+			c.outage.end()
+			sleep(ctx, retryLimit/4)
+		case driftplatform.Unavailable:
+			c.outage.wait(ctx)
+		}
+	}
+}
+
+func (c *Control) watchOnce(ctx context.Context, key string, held uint64) driftplatform.ConfigResult {
+	if held == 0 {
+		return c.config.Read(ctx, key)
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchLimit)
+	defer cancel()
+	return c.config.Watch(ctx, key, held)
+}
+
+// tellRead tells the control goroutine what the service has answered.
+func (c *Control) tellRead(ctx context.Context, key string, result driftplatform.ConfigResult) {
+	switch r := result.(type) {
+	case driftplatform.Found:
+		c.tell(ctx, documentRead{parsed: parse(r.Value)})
+	case driftplatform.Unchanged, driftplatform.Absent:
+		c.tell(ctx, serviceAnswered{})
+	case driftplatform.Unavailable:
+		c.tell(ctx, documentMissed{key: key, err: r.Err})
+	}
+}
+
+// readDocument takes over a value that the service has answered.
+func (c *Control) readDocument(ctx context.Context, p parsed, now time.Time) {
+	c.noteContact(now)
+	held := c.documents.number(p.value.Key)
+	if p.value.Number < held {
+		c.events.Record(driftevent.ConfigStale, "", p.value.Key,
+			"service has "+revisionText(p.value.Number)+", held "+revisionText(held))
+	}
+	if c.applyDocument(p) {
+		c.pushDocument(ctx, p.value)
+	}
+}
+
+// outage lets one reader of a VM at a time ask a service that is down, with
+// growing pauses.
+type outage struct {
+	mu    sync.Mutex
+	pause time.Duration
+	next  time.Time
+}
+
+// wait returns when the caller may ask again.
+func (o *outage) wait(ctx context.Context) {
+	o.mu.Lock()
+	now := time.Now()
+	if now.After(o.next) {
+		o.pause = min(max(2*o.pause, retryRead), retryLimit)
+		o.next = now.Add(o.pause)
+	}
+	pause := o.next.Sub(now)
+	o.mu.Unlock()
+	sleep(ctx, pause+rand.N(retryRead))
+}
+
+// end notes that the service answers.
+func (o *outage) end() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pause = 0
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/driftcontrol/view.go
+++ b/internal/driftcontrol/view.go
@@ -54,7 +54,8 @@
 // refreshTables rebuilds the tables that have changed.
 func (c *Control) refreshTables(now time.Time) {
 	t := &c.tables
-	if t.documents != c.documents.changes || t.partings != len(c.partings.rows) {
+	c.joined = c.joined || now.Sub(c.started) > joinLimit
+	if c.joined && (t.documents != c.documents.changes || t.partings != len(c.partings.rows)) {
 		t.documents = c.documents.changes
 		t.number++
 		c.documents.fill(&t.view)
--- a/internal/driftfake/platform.go
+++ b/internal/driftfake/platform.go
@@ -92,6 +92,17 @@
 	p.wake()
 }
 
+// SetStaleAt makes the configuration service answer with the given older
+// revision of a key, until SetStale ends it.
+func (p *Platform) SetStaleAt(key string, number uint64) {
+	p.SetStale(true)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.frozen[key]
+	old.Number = number
+	p.frozen[key] = old
+}
+
 // SetListLag sets how late changes of the VM list are seen.
 func (p *Platform) SetListLag(lag time.Duration) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/drifttest/config_test.go
@@ -0,0 +1,144 @@
+package drifttest
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/almonddrift/almonddrift/internal/driftdocument"
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+)
+
+// inForce is the time within which a change must be in force everywhere.
+const inForce = 3 * time.Second
+
+func TestConfiguration(t *testing.T) {
+	cases := []struct {
+		name string
+		run  func(t *testing.T, f *Fleet)
+	}{
+		{"in force everywhere", changeIsInForce},
+		{"stale service and restarted VM", staleServiceNeverReverts},
+		{"all but one replaced while stale", survivesOnOneVM},
+		{"invalid document", invalidIsRefused},
+		{"unknown references", unknownReferences},
+		{"service down", serviceDown},
+		{"steady reads", steadyReads},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { c.run(t, NewFleet(t, driftfake.Oshana())) })
+		})
+	}
+}
+
+// revision returns the revision of a key at a VM.
+func (f *Fleet) revision(vm, key string) uint64 {
+	r, _ := f.Node(vm).Views().Load().Revisions.Get(key)
+	return r.Number
+}
+
+func assertInForce(t *testing.T, f *Fleet, key string, number uint64) {
+	t.Helper()
+	for _, vm := range VMs() {
+		assert.Equal(t, number, f.revision(vm, key), vm)
+	}
+}
+
+func changeIsInForce(t *testing.T, f *Fleet) {
+	number := f.Platform.Put(driftdocument.KeyClasses, f.Size.ClassesDocument())
+	time.Sleep(inForce)
+	assertInForce(t, f, driftdocument.KeyClasses, number)
+}
+
+func staleServiceNeverReverts(t *testing.T, f *Fleet) {
+	number := f.Platform.Put(driftdocument.KeyMarks, driftdocument.Marks{})
+	time.Sleep(inForce)
+	f.Platform.SetStaleAt(driftdocument.KeyMarks, number-1)
+	for _, vm := range VMs() {
+		f.Vanish(vm)
+		f.Return(vm)
+		assertNeverBelow(t, f, vm, driftdocument.KeyMarks, number)
+	}
+	assertInForce(t, f, driftdocument.KeyMarks, number)
+}
+
+// assertNeverBelow watches a started VM: no view of it may show an older
+// revision.
+func assertNeverBelow(t *testing.T, f *Fleet, vm, key string, number uint64) {
+	t.Helper()
+	for range 500 {
+		if held := f.revision(vm, key); held != 0 {
+			require.GreaterOrEqual(t, held, number, vm)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func survivesOnOneVM(t *testing.T, f *Fleet) {
+	number := f.Platform.Put(driftdocument.KeyMarks, driftdocument.Marks{})
+	time.Sleep(inForce)
+	f.Platform.SetStaleAt(driftdocument.KeyMarks, number-1)
+	for _, vm := range VMs()[1:] {
+		f.Vanish(vm)
+	}
+	for _, vm := range VMs()[1:] {
+		f.Return(vm)
+	}
+	time.Sleep(inForce)
+	assertInForce(t, f, driftdocument.KeyMarks, number)
+}
+
+func invalidIsRefused(t *testing.T, f *Fleet) {
+	before := f.revision("vm-1", driftdocument.KeyClasses)
+	reads := f.Platform.Reads()
+	f.Platform.PutRaw(driftdocument.KeyClasses, []byte(`{"classes":[{"name":""}]}`))
+	time.Sleep(inForce)
+	assertInForce(t, f, driftdocument.KeyClasses, before)
+	refused := uint64(0)
+	for _, vm := range VMs() {
+		refused += f.Node(vm).Events.Count(driftevent.ConfigRefused)
+	}
+	assert.Positive(t, refused)
+	assert.Less(t, f.Platform.Reads()-reads, 40)
+}
+
+func unknownReferences(t *testing.T, f *Fleet) {
+	classes := f.Size.ClassesDocument()
+	classes.Classes = append(classes.Classes, driftdocument.Class{
+		Name: "ghost", Service: "nowhere", Fast: driftdocument.Duration(time.Second),
+	})
+	f.Platform.Put(driftdocument.KeyClasses, classes)
+	versions := f.Size.VersionsDocument(1)
+	versions.Versions[0].Shards[0].Upstreams = []string{"unknown-1"}
+	number := f.Platform.Put(driftdocument.KeyVersionsPrefix+f.Size.Service, versions)
+	time.Sleep(inForce)
+	assertInForce(t, f, driftdocument.KeyVersionsPrefix+f.Size.Service, number)
+}
+
+func serviceDown(t *testing.T, f *Fleet) {
+	f.PlatformDown(true)
+	time.Sleep(10 * time.Minute)
+	v := f.Node("vm-1").Views().Load()
+	assert.Greater(t, v.ConfigAge(time.Now()), 9*time.Minute)
+	assert.False(t, v.Fenced)
+	number := f.Platform.Put(driftdocument.KeyClasses, f.Size.ClassesDocument())
+	f.PlatformDown(false)
+	time.Sleep(3 * inForce)
+	assertInForce(t, f, driftdocument.KeyClasses, number)
+}
+
+// steadyReads asserts that reads follow the number of readers, two a key and
+// domain, and not the number of VMs.
+func steadyReads(t *testing.T, f *Fleet) {
+	time.Sleep(time.Minute)
+	before := f.Platform.Reads()
+	time.Sleep(10 * time.Minute)
+	const keys, watchesPerMinute = 5, 3
+	limit := 10 * watchesPerMinute * keys * 2 * len(f.Size.Domains)
+	assert.LessOrEqual(t, f.Platform.Reads()-before, limit)
+}
