--- a/internal/drifttest/config_test.go
+++ b/internal/drifttest/config_test.go
@@ -50,12 +50,14 @@
 }
 
 func changeIsInForce(t *testing.T, f *Fleet) {
+	t.Helper()
 	number := f.Platform.Put(driftdocument.KeyClasses, f.Size.ClassesDocument())
 	time.Sleep(inForce)
 	assertInForce(t, f, driftdocument.KeyClasses, number)
 }
 
 func staleServiceNeverReverts(t *testing.T, f *Fleet) {
+	t.Helper()
 	number := f.Platform.Put(driftdocument.KeyMarks, driftdocument.Marks{})
 	time.Sleep(inForce)
 	f.Platform.SetStaleAt(driftdocument.KeyMarks, number-1)
@@ -80,6 +82,7 @@
 }
 
 func survivesOnOneVM(t *testing.T, f *Fleet) {
+	t.Helper()
 	number := f.Platform.Put(driftdocument.KeyMarks, driftdocument.Marks{})
 	time.Sleep(inForce)
 	f.Platform.SetStaleAt(driftdocument.KeyMarks, number-1)
@@ -94,6 +97,7 @@
 }
 
 func invalidIsRefused(t *testing.T, f *Fleet) {
+	t.Helper()
 	before := f.revision("vm-1", driftdocument.KeyClasses)
 	reads := f.Platform.Reads()
 	f.Platform.PutRaw(driftdocument.KeyClasses, []byte(`{"classes":[{"name":""}]}`))
@@ -108,6 +112,7 @@
 }
 
 func unknownReferences(t *testing.T, f *Fleet) {
+	t.Helper()
 	classes := f.Size.ClassesDocument()
 	classes.Classes = append(classes.Classes, driftdocument.Class{
 		Name: "ghost", Service: "nowhere", Fast: driftdocument.Duration(time.Second),
@@ -121,6 +126,7 @@
 }
 
 func serviceDown(t *testing.T, f *Fleet) {
+	t.Helper()
 	f.PlatformDown(true)
 	time.Sleep(10 * time.Minute)
 	v := f.Node("vm-1").Views().Load()
@@ -135,6 +141,7 @@
 // steadyReads asserts that reads follow the number of readers, two a key and
 // domain, and not the number of VMs.
 func steadyReads(t *testing.T, f *Fleet) {
+	t.Helper()
 	time.Sleep(time.Minute)
 	before := f.Platform.Reads()
 	time.Sleep(10 * time.Minute)
