Renew callers' lists in the background and move on only when nothing ran

Cause: a query waited for the list whenever it had expired, and a silent VM used up the whole deadline of a query that may run again. Change: renewal in the background before the end of the list's life; Idempotent lets a query move on after half of its time; VMs that gave no answer go last.

--- /dev/null
+++ b/pkg/driftclient/list.go
@@ -0,0 +1,129 @@
+package driftclient
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/almonddrift/almonddrift/pkg/driftapi"
+)
+
+// Times of the list.
+const (
+	// askTimeout bounds one question to one VM.
+	askTimeout = time.Second
+	// retryRenewal is the pause after a renewal that no VM has answered.
+	retryRenewal = time.Second
+)
+
+// list returns the entry VMs to use. It waits only while there are none; a
+// list that nears its end is renewed in the background.
+func (c *Client) list(ctx context.Context) []driftapi.Entry {
+	c.mu.Lock()
+	if time.Now().After(c.renewAt) && c.renewing == nil {
+		c.renewing = make(chan struct{})
+		go c.renew(context.WithoutCancel(ctx), c.renewing)
+	}
+	entries, renewing := slices.Clone(c.entries), c.renewing
+	c.mu.Unlock()
+	if len(entries) > 0 || renewing == nil {
+		return entries
+	}
+	select {
+	case <-renewing:
+	case <-ctx.Done():
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.entries)
+}
+
+// renew asks the known VMs in turn for a new list.
+func (c *Client) renew(ctx context.Context, done chan struct{}) {
+	defer close(done)
+	list, err := c.askAll(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.renewing = nil
+	if err != nil {
+		c.renewAt = time.Now().Add(retryRenewal)
+		if len(c.entries) == 0 {
+			c.renewAt = time.Time{}
+		}
+		return
+	}
+	c.entries = list.Entries
+	c.renewAt = time.Now().Add(renewAfter(list.Life))
+}
+
+// renewAfter returns when a list of the given life in milliseconds is renewed:
+// well before its end, and not by all callers at a time.
+func renewAfter(life int64) time.Duration {
+	share := 0.5 + 0.25*rand.Float64()
+	return time.Duration(share * float64(life) * float64(time.Millisecond))
+}
+
+func (c *Client) askAll(ctx context.Context) (list driftapi.Entries, err error) {
+	err = errors.NotFoundf("entry VM")
+	for _, address := range c.known() {
+		if list, err = c.ask(ctx, address); err == nil && len(list.Entries) > 0 {
+			return list, nil
+		}
+	}
+	if err == nil {
+		err = errors.NotFoundf("entry VM in service")
+	}
+	return list, err
+}
+
+// known returns the addresses to ask, those of the last list first.
+func (c *Client) known() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var known []string
+	for _, e := range c.entries {
+		known = append(known, e.Address)
+	}
+	return append(known, c.seeds...)
+}
+
+// demote puts a VM that gave no answer behind the others, and has the list
+// renewed.
+func (c *Client) demote(e driftapi.Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.Index(c.entries, e)
+	if i < 0 || i == len(c.entries)-1 {
+		return
+	}
+	c.entries = append(slices.Delete(slices.Clone(c.entries), i, i+1), e)
+	c.renewAt = time.Time{}
+}
+
+func (c *Client) ask(ctx context.Context, address string) (list driftapi.Entries, err error) {
+	defer errors.DeferredAnnotatef(&err, "asking %s for entry VMs", address)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	values := url.Values{"caller": {c.caller}, "domain": {c.domain}}
+	target := "http://" + address + driftapi.PathEntries + "?" + values.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
+	if err != nil {
+		return list, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return list, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return list, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return list, json.NewDecoder(resp.Body).Decode(&list)
+}
--- /dev/null
+++ b/pkg/driftclient/try.go
@@ -0,0 +1,127 @@
+package driftclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/almonddrift/almonddrift/pkg/driftapi"
+)
+
+// Reasons of refusals that the client gives itself.
+const (
+	reasonUnreachable = "unreachable" // no connection was made
+	reasonSilent      = "silent"      // the connection gave no answer
+	reasonCrossed     = "crossed"     // the answer is not the request's own
+	reasonMalformed   = "malformed"   // the answer could not be read
+)
+
+// connectTimeout bounds the making of one connection, so that a VM that is
+// gone without a word leaves time for the next.
+const connectTimeout = 250 * time.Millisecond
+
+// try sends the query to one VM. The refusal has no reason when the answer
+// is good. Rest is the number of VMs that are left, this one included.
+func (c *Client) try(
+	ctx context.Context, address string, q driftapi.Query, allowed terms, rest int,
+) (driftapi.Answer, driftapi.Refusal) {
+	body, err := json.Marshal(q)
+	if err != nil {
+		return driftapi.Answer{}, refuse(q, driftapi.RanNo, reasonMalformed, err)
+	}
+	ctx, cancel := patience(ctx, allowed, rest)
+	defer cancel()
+	var connected atomic.Bool
+	ctx, stop := untilConnected(ctx, &connected)
+	defer stop()
+	req, err := newRequest(ctx, address, body)
+	if err != nil {
+		return driftapi.Answer{}, refuse(q, driftapi.RanNo, reasonUnreachable, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil && !connected.Load() {
+		return driftapi.Answer{}, refuse(q, driftapi.RanNo, reasonUnreachable, err)
+	}
+	if err != nil {
+		return driftapi.Answer{}, refuse(q, driftapi.RanUnknown, reasonSilent, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return read(resp, q)
+}
+
+// patience bounds one attempt of an idempotent query, so that time is left
+// for another VM.
+func patience(ctx context.Context, allowed terms, rest int) (context.Context, context.CancelFunc) {
+	deadline, found := ctx.Deadline()
+	if !found || !allowed.idempotent || rest < 2 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Until(deadline)/2)
+}
+
+// untilConnected ends the context when no connection is made in time, and
+// notes whether one was.
+func untilConnected(ctx context.Context, connected *atomic.Bool) (traced context.Context, stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(connectTimeout, func() {
+		if !connected.Load() {
+			cancel()
+		}
+	})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	return ctx, func() {
+		timer.Stop()
+		cancel()
+	}
+}
+
+// newRequest hides the type of the body, so that net/http cannot send it a
+// second time on another connection.
+func newRequest(ctx context.Context, address string, body []byte) (*http.Request, error) {
+	reader := io.MultiReader(bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+driftapi.PathQuery, reader)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", "application/json")
+	return req, nil
+}
+
+func refuse(q driftapi.Query, ran driftapi.Ran, reason string, err error) driftapi.Refusal {
+	r := driftapi.Refusal{Request: q.Request, Ran: ran, Reason: reason}
+	if err != nil {
+		r.Detail = err.Error()
+	}
+	return r
+}
+
+// read reads a VM's reply and checks that it is the request's own.
+func read(resp *http.Response, q driftapi.Query) (driftapi.Answer, driftapi.Refusal) {
+	decoder := json.NewDecoder(resp.Body)
+	if resp.StatusCode == http.StatusOK {
+		var answer driftapi.Answer
+		if err := decoder.Decode(&answer); err != nil {
+			return driftapi.Answer{}, refuse(q, driftapi.RanUnknown, reasonMalformed, err)
+		}
+		if answer.Request != q.Request {
+			return driftapi.Answer{}, refuse(q, driftapi.RanUnknown, reasonCrossed, nil)
+		}
+		return answer, driftapi.Refusal{}
+	}
+	var refusal driftapi.Refusal
+	if err := decoder.Decode(&refusal); err != nil || refusal.Ran == "" {
+		return driftapi.Answer{}, refuse(q, driftapi.RanUnknown, reasonMalformed, err)
+	}
+	if refusal.Request != "" && refusal.Request != q.Request {
+		return driftapi.Answer{}, refuse(q, driftapi.RanUnknown, reasonCrossed, nil)
+	}
+	return driftapi.Answer{}, refusal
+}
