Shut a VM down in order and replace all without a lost request

Cause: a VM that left refused at once, and a new one left its upstreams without an owner for a lease. Change: Node.Leave announces, serves callers for the life of their lists, then refuses, drains and checks that nothing is cut off. An earlier omission binds a voter until it lapses, so the owner before goes on until then; a fenced VM probes its voters more often.

--- a/internal/driftcontrol/control.go
+++ b/internal/driftcontrol/control.go
@@ -67,6 +67,7 @@
 	number        uint64
 	listRead      bool
 	leaving       bool
+	closed        bool
 	joined        bool
 	unavailable   bool
 	fenced        bool
@@ -149,6 +150,11 @@
 	c.tell(ctx, leaveRequested{})
 }
 
+// Close makes the views of this VM refuse all queries. Call it after Leave.
+func (c *Control) Close(ctx context.Context) {
+	c.tell(ctx, closeRequested{})
+}
+
 // Run runs the control plane until ctx ends.
 func (c *Control) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -236,12 +242,15 @@
 	listRead struct{ vms []driftplatform.ListedVM }
 	// leaveRequested starts the shutdown of this VM.
 	leaveRequested struct{}
+	// closeRequested ends the taking of queries.
+	closeRequested struct{}
 )
 
 func (documentRead) message()   {}
 func (documentMissed) message() {}
 func (listRead) message()       {}
 func (leaveRequested) message() {}
+func (closeRequested) message() {}
 
 func (c *Control) handle(ctx context.Context, m message, now time.Time) {
 	switch m := m.(type) {
@@ -268,6 +277,9 @@
 		c.endRelay(m, now)
 	case leaveRequested:
 		c.leave(ctx, now)
+	case closeRequested:
+		c.closed = true
+		c.members.number++
 	}
 }
 
--- a/internal/driftcontrol/owner.go
+++ b/internal/driftcontrol/owner.go
@@ -52,7 +52,7 @@
 			(m.vm.Health == drifttable.Alive || m.vm.Health == drifttable.Suspect)
 		switch {
 		case name == c.self.Name:
-			s.serves = !c.fenced && !c.leaving && !m.vm.Out
+			s.serves = !c.fenced && !m.leaving() && !m.vm.Out
 		case m.vm.Domain == c.self.Domain:
 			s.excluded = c.excluded(name, now)
 		}
--- a/internal/driftcontrol/probe.go
+++ b/internal/driftcontrol/probe.go
@@ -15,6 +15,8 @@
 	// voterInterval is the time between two probes of a VM that votes on this
 	// one, watchInterval that of any other watched VM.
 	voterInterval = 250 * time.Millisecond
+	// joinInterval replaces voterInterval while this VM may not own.
+	joinInterval  = 100 * time.Millisecond
 	watchInterval = 500 * time.Millisecond
 	// relayInterval is the time between two relayed probes of a silent VM.
 	relayInterval = 300 * time.Millisecond
@@ -286,6 +288,9 @@
 		if votes {
 			m.probe.interval = voterInterval
 		}
+		if votes && c.fenced {
+			m.probe.interval = joinInterval
+		}
 		nearby := len(near) <= smallDomain && m.vm.Domain == c.self.Domain
 		watched := all || votes || nearby || !m.doubted.IsZero() || slices.Contains(far, name)
 		if watched && !m.watched {
--- a/internal/driftcontrol/view.go
+++ b/internal/driftcontrol/view.go
@@ -30,6 +30,7 @@
 	v.Number, v.Made, v.Fenced = c.number, now, c.fenced
 	v.Owners = c.chooseOwners(v.Upstreams, now)
 	v.Contact = c.contact
+	v.Draining = c.leaving && !c.closed
 	c.views.Publish(v)
 	if !c.fenced {
 		c.members.rows[c.self.Name].seat.give(now)
@@ -44,6 +45,9 @@
 	}
 	c.fenced = fenced
 	c.members.number++
+	for _, m := range c.members.rows {
+		m.probe.due = now
+	}
 	code := driftevent.VMUnfenced
 	if fenced {
 		code = driftevent.VMFenced
--- a/internal/driftcontrol/vote.go
+++ b/internal/driftcontrol/vote.go
@@ -27,6 +27,8 @@
 	digest uint64
 	seats  map[string]*pb.Seat
 	until  time.Time
+	// lapses is until when an earlier roster without the seat still binds.
+	lapses map[string]time.Time
 }
 
 // apply takes over a roster that answers a probe sent at the given moment.
@@ -35,10 +37,7 @@
 		return
 	}
 	if len(r.GetSeats()) > 0 || r.GetDigest() != s.digest {
-		s.seats = make(map[string]*pb.Seat, len(r.GetSeats()))
-		for _, seat := range r.GetSeats() {
-			s.seats[seat.GetName()] = seat
-		}
+		s.replace(r.GetSeats())
 		s.digest = rosterDigest(r.GetSeats())
 	}
 	if s.digest == r.GetDigest() {
@@ -46,6 +45,22 @@
 	}
 }
 
+// replace takes over other seats. A VM that had none may be given no lease
+// before the earlier roster has lapsed.
+func (s *statement) replace(seats []*pb.Seat) {
+	before, until := s.seats, s.until
+	s.seats = make(map[string]*pb.Seat, len(seats))
+	for _, seat := range seats {
+		s.seats[seat.GetName()] = seat
+		if _, found := before[seat.GetName()]; !found && before != nil {
+			s.lapses[seat.GetName()] = until
+		}
+	}
+	if s.lapses == nil {
+		s.lapses = make(map[string]time.Time)
+	}
+}
+
 // holds reports whether the roster still binds for as long as a view is used.
 func (s *statement) holds(now time.Time) bool {
 	return !s.until.Before(now.Add(OwnerFresh))
@@ -186,11 +201,15 @@
 	m, departed := c.members.rows[voter], c.members.rows[subject].departed
 	if voter == c.self.Name {
 		s := c.members.rows[subject].seat
-		return s.state == absent && now.Sub(c.started) >= lease
+		binds := s.state == absent || (s.state == joining && now.Add(OwnerFresh).Sub(s.since) <= lease)
+		return binds && now.Sub(c.started) >= lease
 	}
 	if !m.told.holds(now) {
 		return false
 	}
 	seat, found := m.told.seats[subject]
+	if found && !m.told.lapses[subject].Before(now.Add(OwnerFresh)) {
+		return true
+	}
 	return !found || (departed != 0 && seat.GetBoot() <= departed)
 }
--- a/internal/driftfront/explain.go
+++ b/internal/driftfront/explain.go
@@ -25,6 +25,12 @@
 // counters are the counts while they change.
 type counters struct {
 	queries, refused, first, hedges, dropped, restarts atomic.Uint64
+	flight                                             atomic.Int64
+}
+
+// Flight returns the number of queries that run.
+func (f *Front) Flight() int {
+	return int(f.counters.flight.Load())
 }
 
 // Counts returns the totals of the Front.
--- a/internal/driftfront/front.go
+++ b/internal/driftfront/front.go
@@ -126,6 +126,8 @@
 func (f *Front) Query(ctx context.Context, q driftapi.Query) Outcome {
 	now := time.Now()
 	f.counters.queries.Add(1)
+	f.counters.flight.Add(1)
+	defer f.counters.flight.Add(-1)
 	f.events.Record(driftevent.QueryStarted, q.Request, q.Class, "")
 	wait := time.Duration(q.Deadline) * time.Millisecond
 	o := f.query(ctx, call{query: q, started: now, deadline: now.Add(wait - margin(wait))})
@@ -188,7 +190,7 @@
 		return class, driftshard.ReasonStale
 	case selfLeaves(v):
 		return class, driftshard.ReasonLeaving
-	case v.VMOut(v.Self):
+	case v.MarkedOut(v.Self):
 		return class, driftshard.ReasonOut
 	}
 	class, found := v.Classes.Get(c.query.Class)
@@ -204,7 +206,7 @@
 
 func selfLeaves(v *drifttable.View) bool {
 	vm, found := v.VMs.Get(v.Self)
-	return found && vm.Health == drifttable.Leaving
+	return found && vm.Health == drifttable.Leaving && !v.Draining
 }
 
 func refuse(q driftapi.Query, reason driftshard.Reason) Refused {
--- a/internal/driftnode/node.go
+++ b/internal/driftnode/node.go
@@ -59,6 +59,8 @@
 	Front   *driftfront.Front
 	Steer   *driftsteer.Steer
 	Server  *driftpeer.Server
+
+	served *countedHandler
 }
 
 // New returns a node. Run starts it.
@@ -75,8 +77,9 @@
 	router := driftpeer.NewRouter(views, n.Owner, p.Transport, n.Control)
 	n.Front = driftfront.New(views, router, p.Events, p.Checker, p.FrontOptions...)
 	n.Steer = driftsteer.New(views, p.Life)
+	n.served = &countedHandler{next: n.Owner}
 	n.Server = driftpeer.NewServer(
-		p.Self.Name, p.Self.Boot, n.Control, n.Owner, n.Owner, p.Events, n,
+		p.Self.Name, p.Self.Boot, n.Control, n.served, n.Owner, p.Events, n,
 	)
 	return n
 }
--- a/internal/driftserve/process.go
+++ b/internal/driftserve/process.go
@@ -131,7 +131,9 @@
 // waits until callers have moved on, lets requests in flight end, and stops.
 func (p *Process) Stop(ctx context.Context) (err error) {
 	defer errors.DeferredAnnotatef(&err, "stopping VM %q", p.settings.Name)
-	p.node.Control.Leave(ctx)
+	if err := p.node.Leave(ctx); err != nil {
+		return errors.Annotate(errors.Wrap(err, p.app.Stop(context.WithoutCancel(ctx))), "cut off")
+	}
 	return p.app.Stop(ctx)
 }
 
--- a/internal/drifttable/view.go
+++ b/internal/drifttable/view.go
@@ -31,6 +31,9 @@
 	// Fenced is set while this VM cannot tell whether it still owns its
 	// upstreams. A fenced VM dispatches nothing.
 	Fenced bool
+	// Draining is set while this VM leaves and still takes queries of callers
+	// that keep its address.
+	Draining bool
 	// Contact is when the configuration service last answered this VM or one
 	// that passed its documents on. It is zero before the first answer.
 	Contact time.Time
@@ -94,6 +97,13 @@
 	return vm.Out || vm.Health == Leaving || v.DomainOut(vm.Domain)
 }
 
+// MarkedOut reports whether operators have marked the VM or its failure
+// domain out. A VM that is not known counts as out.
+func (v *View) MarkedOut(name string) bool {
+	vm, found := v.VMs.Get(name)
+	return !found || vm.Out || v.DomainOut(vm.Domain)
+}
+
 // Age returns how old the view is at the given moment.
 func (v *View) Age(now time.Time) time.Duration {
 	return now.Sub(v.Made)
--- a/internal/drifttest/fault.go
+++ b/internal/drifttest/fault.go
@@ -143,13 +143,13 @@
 // Leave shuts a VM down as SIGTERM does: it announces that it leaves, serves
 // its callers for as long as they may keep its address, and then ends.
 func (f *Fleet) Leave(vm string) {
-	f.Node(vm).Control.Leave(f.life(vm))
-	time.AfterFunc(callerLife+leaveSlack, func() { f.Vanish(vm) })
+	node, life := f.Node(vm), f.life(vm)
+	go func() {
+		_ = node.Leave(life)
+		f.Vanish(vm)
+	}()
 }
 
-// leaveSlack is the time for requests in flight to end.
-const leaveSlack = 2 * time.Second
-
 // Freeze stops the control plane of a VM, which goes on to serve traffic
 // with its last view of the fleet, as a process does that wakes up late.
 func (f *Fleet) Freeze(vm string) {
--- /dev/null
+++ b/internal/drifttest/rolling_test.go
@@ -0,0 +1,71 @@
+package drifttest
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+)
+
+// TestRollingReplacement replaces all VMs one after the other under load:
+// nothing is lost, refused or repeated, and coverage holds.
+func TestRollingReplacement(t *testing.T) {
+	for _, size := range []driftfake.Size{driftfake.Oshana(), driftfake.Tacada()} {
+		t.Run(size.Service, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := NewFleet(t, size)
+				replaced := make(chan struct{})
+				go func() {
+					defer close(replaced)
+					replaceAll(f)
+				}()
+				length := vmCount * (callerLife + replacePause)
+				once := make(chan *Tally, 1)
+				go func() {
+					once <- f.Load(Load{
+						Class: "reserve", Rate: 5, Time: length, Seed: 2, Depots: []string{"depot-1-1"},
+					})
+				}()
+				assertHeld(t, f.Load(Load{Class: "counter", Rate: 20, Time: length, Seed: 1}))
+				assertNotLost(t, <-once)
+				<-replaced
+				assert.Empty(t, f.Faults())
+			})
+		})
+	}
+}
+
+// replacePause is the time from the end of one VM to the leaving of the next.
+const replacePause = 10 * time.Second
+
+func replaceAll(f *Fleet) {
+	for _, vm := range VMs() {
+		_ = f.Node(vm).Leave(f.t.Context())
+		f.Vanish(vm)
+		f.Return(vm)
+		time.Sleep(replacePause)
+	}
+}
+
+// assertNotLost asserts that every caller got an answer or a true "not run".
+// A request that may run once goes to one replica, and is refused as not run
+// while that replica changes its owner.
+func assertNotLost(t *testing.T, tally *Tally) {
+	t.Helper()
+	assert.Zero(t, tally.Lost)
+	assert.Zero(t, tally.Unknown)
+	t.Logf("%d requests, %d refused as not run, %v", tally.Queries, tally.Refused, tally.Reasons)
+}
+
+// assertHeld asserts that every caller got a whole answer.
+func assertHeld(t *testing.T, tally *Tally) {
+	t.Helper()
+	assertNotLost(t, tally)
+	assert.Zero(t, tally.Refused)
+	assert.GreaterOrEqual(t, tally.Mean(), 0.999)
+	t.Logf("%d queries, mean coverage %.4f, p50 %s, p99 %s, %v", tally.Queries, tally.Mean(),
+		tally.Quantile(0.5, defaultDeadline), tally.Quantile(0.99, defaultDeadline), tally.Reasons)
+}
