--- a/internal/driftowner/attempt.go
+++ b/internal/driftowner/attempt.go
@@ -221,6 +221,7 @@
 func (l *lane) settle(t *ticket, c *link, reply driftupstream.Reply, now time.Time) (o outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.events.Record(driftevent.DispatchEnded, t.request.Query, l.name, t.request.Attempt)
 	switch reply := reply.(type) {
 	case driftupstream.Answered:
 		o.result = l.answered(t, c, reply, now)
@@ -338,14 +339,7 @@
 	}
 	l.pool.close(c)
 	if !f.Sent {
-		if !fresh && !t.detached && now.Before(t.request.Deadline) {
-			l.renew = true
-			return outcome{again: true}
-		}
-		if fresh {
-			l.fail(driftshard.ReasonUnreachable, 0, now)
-		}
-		return outcome{result: driftshard.NotRun{Reason: driftshard.ReasonUnreachable}}
+		return l.unsentOn(t, fresh, now)
 	}
 	l.haunt(t, now)
 	switch {
@@ -365,6 +359,22 @@
 	return outcome{result: driftshard.Unknown{Reason: f.Reason}}
 }
 
+// unsentOn takes an attempt that found its connection closed. A new one that
+// is closed at once tells of the upstream; a pooled one may have been closed
+// by a restart.
+func (l *lane) unsentOn(t *ticket, fresh bool, now time.Time) (o outcome) {
+	if fresh {
+		l.fail(driftshard.ReasonUnreachable, 0, now)
+		return outcome{result: driftshard.NotRun{Reason: driftshard.ReasonUnreachable}}
+	}
+	l.observe(func() { l.limiter.doubt(now) })
+	if !t.detached && now.Before(t.request.Deadline) {
+		l.renew = true
+		return outcome{again: true}
+	}
+	return outcome{result: driftshard.NotRun{Reason: driftshard.ReasonUnreachable}}
+}
+
 // telling reports whether a silence was long enough to mean anything.
 func (l *lane) telling(t *ticket, now time.Time) bool {
 	return now.Sub(t.sent) >= min(silentFloor, max(slowSpread*l.service, lateGrace))
