Give the ways to upstreams their delay, and the first slopes of capacity

Cause: the baseline reached upstreams of other failure domains without the delay that the system's hop pays, so that the comparison was unfair; what was in flight at the end of a bubble blocked it.

--- a/internal/driftbench/baseline.go
+++ b/internal/driftbench/baseline.go
@@ -32,7 +32,8 @@
 // replica, with the limits of the upstream divided by the number of VMs,
 // without hedges and without owners, until the caller's deadline.
 type Baseline struct {
-	fleet *drifttest.Fleet
+	fleet  *drifttest.Fleet
+	dialer driftupstream.Dialer
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -49,7 +50,7 @@
 // NewBaseline implements drifttest.Policy.
 func NewBaseline(ctx context.Context, f *drifttest.Fleet, vm string) drifttest.Asker {
 	b := &Baseline{
-		fleet: f, lanes: make(map[string]*lane), random: rand.New(rand.NewPCG(uint64(vm[len(vm)-1]), 1)),
+		fleet: f, dialer: f.DialerOf(vm), lanes: make(map[string]*lane), random: rand.New(rand.NewPCG(uint64(vm[len(vm)-1]), 1)),
 	}
 	for _, u := range f.Upstreams {
 		b.lanes[u.Name] = &lane{
@@ -177,6 +178,6 @@
 	case conn := <-l.idle:
 		return conn, nil
 	default:
-		return b.fleet.Dialer.Dial(ctx, drifttable.Upstream{Name: upstream})
+		return b.dialer.Dial(ctx, drifttable.Upstream{Name: upstream})
 	}
 }
--- /dev/null
+++ b/internal/driftcapacity/run_test.go
@@ -0,0 +1,229 @@
+package driftcapacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/almonddrift/almonddrift/internal/driftcheck"
+	"github.com/almonddrift/almonddrift/internal/driftdocument"
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+	"github.com/almonddrift/almonddrift/internal/driftnode"
+	"github.com/almonddrift/almonddrift/internal/driftplatform"
+	"github.com/almonddrift/almonddrift/internal/driftshard"
+	"github.com/almonddrift/almonddrift/internal/driftsteer"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+	"github.com/almonddrift/almonddrift/pkg/driftapi"
+)
+
+// Times of a measurement in virtual time.
+const (
+	settleTime  = 15 * time.Second
+	measureTime = 20 * time.Second
+)
+
+// runFleet measures real nodes in two failure domains without traffic.
+func runFleet(t *testing.T, perDomain int) []float64 {
+	t.Helper()
+	return inBubble(t, func(t *testing.T) []float64 {
+		t.Helper()
+		vms := 2 * perDomain
+		before := heap()
+		s := newSystem(vms, 10*vms, 2)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for i := range vms {
+			s.start(ctx, i, driftevent.WithSize(1))
+		}
+		time.Sleep(settleTime)
+		started := processorTime(t)
+		calls, bytes := s.network.Traffic()
+		reads := s.platform.Reads()
+		time.Sleep(measureTime)
+		took := processorTime(t) - started
+		callsAfter, bytesAfter := s.network.Traffic()
+		nodeSeconds := float64(vms) * measureTime.Seconds()
+		return []float64{
+			float64(took.Microseconds()) / 1000 / nodeSeconds, (heap() - before) / float64(vms),
+			float64(callsAfter-calls) / nodeSeconds, float64(bytesAfter-bytes) / nodeSeconds,
+			float64(s.platform.Reads()-reads) / measureTime.Seconds(),
+		}
+	})
+}
+
+// domainsOf is the number of failure domains for so many VMs.
+func domainsOf(vms int) int {
+	return max(2, (vms+perDomain-1)/perDomain)
+}
+
+// changes is the number of changes of marks that are measured.
+const changes = 5
+
+// runView measures one node that knows a system of many VMs and upstreams.
+// The other VMs take no call.
+func runView(t *testing.T, upstreams int) []float64 {
+	t.Helper()
+	return inBubble(t, func(t *testing.T) []float64 {
+		t.Helper()
+		before := heap()
+		vms := upstreams / 10
+		s := newSystem(vms, upstreams, domainsOf(vms))
+		published := heap()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		node := s.start(ctx, 0)
+		time.Sleep(settleTime / 3)
+		require.Greater(t, node.Views().Load().Upstreams.Len(), upstreams/2)
+		started := processorTime(t)
+		time.Sleep(measureTime / 4)
+		idle := processorTime(t) - started
+		memory := heap() - published
+		_ = before
+		started = processorTime(t)
+		for i := range changes {
+			s.platform.Put(driftdocument.KeyMarks, driftdocument.Marks{VMs: []string{fmt.Sprintf("vm-%d", i+1)}})
+			time.Sleep(measureTime / 4 / changes)
+		}
+		changing := processorTime(t) - started
+		change := max(0, changing-idle) / changes
+		return []float64{
+			float64(idle.Microseconds()) / 1000 / (measureTime / 4).Seconds(), memory,
+			float64(change.Microseconds()) / 1000,
+		}
+	})
+}
+
+// answers is the number of lists that are measured.
+const answers = 50
+
+func runSteer(t *testing.T, vms int) []float64 {
+	t.Helper()
+	rows := make([]drifttable.VM, 0, vms)
+	for i := range vms {
+		rows = append(rows, drifttable.VM{
+			Name: fmt.Sprintf("vm-%d", i), Domain: fmt.Sprintf("domain-%d", i%domainsOf(vms)),
+			Callers: "10.0.0.1:8080", Listed: true,
+		})
+	}
+	steer := driftsteer.New(drifttable.NewHolder(drifttable.View{Made: time.Now(), VMs: drifttable.NewTable(rows...)}), time.Second)
+	started := processorTime(t)
+	var list driftapi.Entries
+	for i := range answers {
+		list = steer.Entries(fmt.Sprintf("caller-%d", i), "domain-1")
+	}
+	took := processorTime(t) - started
+	body, err := json.Marshal(list)
+	require.NoError(t, err)
+	return []float64{float64(took.Microseconds()) / answers, float64(len(body))}
+}
+
+// queries is the number of queries that are measured.
+const queries = 2000
+
+// runQuery measures front and owner of one node over stand-ins in the same
+// process: no sockets and no time at the upstream.
+func runQuery(t *testing.T, shards int) []float64 {
+	t.Helper()
+	return inBubble(t, func(t *testing.T) []float64 {
+		t.Helper()
+		size := driftfake.Size{
+			Service: "counter", Domains: []string{"one"}, Shards: shards, Replicas: 1, Depots: 2,
+			Slots: 4, Connections: 35, Time: time.Microsecond,
+		}
+		node := startOne(t, size, size.Upstreams(1))
+		started := processorTime(t)
+		for i := range queries {
+			node.Front.Query(t.Context(), driftapi.Query{Request: fmt.Sprint(i), Class: "night", Deadline: 1000})
+		}
+		return []float64{float64((processorTime(t) - started).Microseconds()) / queries}
+	})
+}
+
+// startOne runs one node over a size and has it learn its upstreams.
+func startOne(t *testing.T, size driftfake.Size, upstreams []*driftfake.Upstream) *driftnode.Node {
+	t.Helper()
+	s := newSystem(1, 0, 1)
+	s.vms[0].Domain = size.Domains[0]
+	s.platform.SetVMs(s.vms...)
+	s.platform.Put(driftdocument.KeyDomains, size.DomainsDocument())
+	s.platform.Put(driftdocument.KeyClasses, size.ClassesDocument())
+	s.platform.Put(driftdocument.KeyUpstreamsPrefix+size.Service, size.UpstreamsDocument(func(string) string { return "10.0.0.1:8080" }))
+	s.platform.Put(driftdocument.KeyVersionsPrefix+size.Service, size.VersionsDocument(1))
+	events := driftevent.NewLog("vm-0", 1, driftevent.WithSize(1))
+	node := driftnode.New(driftnode.Parts{
+		Self:   drifttable.VM{Name: "vm-0", Domain: size.Domains[0], Boot: 1, Callers: "vm-0", Peers: "vm-0"},
+		Config: s.platform, Lister: s.platform, Transport: s.network.Transport("vm-0"),
+		Dialer: driftfake.NewDialer(upstreams...), Events: events, Checker: driftcheck.NewChecker(events),
+	})
+	go func() { _ = node.Run(t.Context()) }()
+	time.Sleep(settleTime)
+	for i := range 200 {
+		node.Front.Query(t.Context(), driftapi.Query{Request: fmt.Sprintf("first-%d", i), Class: "night", Deadline: 1000})
+		time.Sleep(20 * time.Millisecond)
+	}
+	return node
+}
+
+// runOwner measures the memory of the lanes of one owner.
+func runOwner(t *testing.T, upstreams int) []float64 {
+	t.Helper()
+	return inBubble(t, func(t *testing.T) []float64 {
+		t.Helper()
+		size := driftfake.Size{
+			Service: "counter", Domains: []string{"one"}, Shards: upstreams, Replicas: 1, Depots: 1,
+			Slots: 4, Connections: 35, Time: time.Microsecond,
+		}
+		s := size.Upstreams(1)
+		node := startIdle(t, size, s)
+		before := heap()
+		for i, u := range s {
+			node.Owner.Handle(t.Context(), driftshard.Request{
+				Query: fmt.Sprint(i), Attempt: fmt.Sprint(i), Class: "night", Service: "counter",
+				Upstream: u.Name, Version: 1, Deadline: time.Now().Add(time.Second),
+			})
+		}
+		time.Sleep(time.Second)
+		return []float64{(heap() - before) * 1024}
+	})
+}
+
+func startIdle(t *testing.T, size driftfake.Size, upstreams []*driftfake.Upstream) *driftnode.Node {
+	t.Helper()
+	return startOne(t, size, upstreams)
+}
+
+func runDocuments(t *testing.T, entries int) []float64 {
+	t.Helper()
+	size := driftfake.Size{
+		Service: "counter", Domains: []string{"Ondangwa", "Oshakati"}, Shards: entries, Replicas: 1,
+		Slots: 4, Connections: 35, Opening: 6 * time.Millisecond,
+	}
+	upstreams, err := json.Marshal(size.UpstreamsDocument(func(string) string { return "10.100.100.100:8080" }))
+	require.NoError(t, err)
+	var vms []driftplatform.ListedVM
+	for i := range entries {
+		vms = append(vms, driftplatform.ListedVM{
+			Name: fmt.Sprintf("vm-%d", i), Domain: "Ondangwa", Callers: "10.100.100.100:8080", Peers: "10.100.100.100:8081",
+		})
+	}
+	list, err := json.Marshal(vms)
+	require.NoError(t, err)
+	return []float64{float64(len(upstreams)), float64(len(list))}
+}
+
+func runEvents(t *testing.T, events int) []float64 {
+	t.Helper()
+	before := heap()
+	log := driftevent.NewLog("vm-1", 1, driftevent.WithSize(events))
+	for i := range events {
+		log.Record(driftevent.DispatchStarted, fmt.Sprintf("request-%d", i), "counter-1a", fmt.Sprintf("attempt-%d", i))
+	}
+	used := heap() - before
+	require.Len(t, log.Events(), events)
+	return []float64{used}
+}
--- /dev/null
+++ b/internal/driftcapacity/slope.go
@@ -0,0 +1,117 @@
+// Package driftcapacity works out what each role of the system costs at the
+// size that the users expect within two years, from slopes that were measured
+// on one machine.
+//
+// The measured points are in slopes.json, which the test of this package
+// writes. A slope is the straight line of least squares through the means of
+// its points; its spread is the largest distance of a run from the mean of
+// its point.
+//
+// # Usage
+//
+//	go test ./internal/driftcapacity -run Measure -measure   # writes slopes.json
+//	almonddrift capacity                                     # prints the table
+package driftcapacity
+
+import (
+	_ "embed"
+	"encoding/json"
+
+	"github.com/juju/errors"
+)
+
+// Point is the runs at one size.
+type Point struct {
+	Size float64   `json:"size"`
+	Runs []float64 `json:"runs"`
+}
+
+// Slope is a quantity measured at several sizes.
+type Slope struct {
+	Name string `json:"name"`
+	// Unit is the unit of the runs, Per what the size counts.
+	Unit    string  `json:"unit"`
+	Per     string  `json:"per"`
+	Command string  `json:"command"`
+	Points  []Point `json:"points"`
+}
+
+// Slopes is the content of slopes.json.
+type Slopes struct {
+	Slopes []Slope `json:"slopes"`
+}
+
+//go:embed slopes.json
+var measured []byte
+
+// Measured returns the slopes of slopes.json.
+func Measured() (slopes Slopes, err error) {
+	defer errors.DeferredAnnotatef(&err, "slopes.json")
+	err = json.Unmarshal(measured, &slopes)
+	return slopes, err
+}
+
+// Get returns the slope of the given name, and whether there is one.
+func (s Slopes) Get(name string) (slope Slope, found bool) {
+	for _, slope := range s.Slopes {
+		if slope.Name == name {
+			return slope, true
+		}
+	}
+	return Slope{}, false
+}
+
+// Mean returns the mean of the runs.
+func (p Point) Mean() float64 {
+	var sum float64
+	for _, r := range p.Runs {
+		sum += r
+	}
+	return sum / float64(len(p.Runs))
+}
+
+// Spread returns the largest distance of a run from the mean of its point, as
+// a share of that mean.
+func (s Slope) Spread() float64 {
+	var spread float64
+	for _, p := range s.Points {
+		mean := p.Mean()
+		for _, r := range p.Runs {
+			if mean > 0 {
+				spread = max(spread, max(r-mean, mean-r)/mean)
+			}
+		}
+	}
+	return spread
+}
+
+// Line returns the base and the rise of the line of least squares.
+func (s Slope) Line() (base, rise float64) {
+	var n, x, y, xx, xy float64
+	for _, p := range s.Points {
+		n++
+		x += p.Size
+		y += p.Mean()
+		xx += p.Size * p.Size
+		xy += p.Size * p.Mean()
+	}
+	if n == 0 {
+		return 0, 0
+	}
+	if d := n*xx - x*x; d != 0 {
+		rise = (n*xy - x*y) / d
+	}
+	return (y - rise*x) / n, rise
+}
+
+// At returns the value at a size: the mean there if it was measured, else
+// the line's.
+func (s Slope) At(size float64) float64 {
+	for _, p := range s.Points {
+		if p.Size == size {
+			return p.Mean()
+		}
+	}
+	base, rise := s.Line()
+	return base + rise*size
+}
--- a/internal/driftfake/gate.go
+++ b/internal/driftfake/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/almonddrift/almonddrift/internal/driftplatform"
 	"github.com/almonddrift/almonddrift/internal/driftshard"
@@ -55,10 +56,12 @@
 	return g.closed
 }
 
-// GatedDialer is a dialer as one VM uses it, through its gate.
+// GatedDialer is a dialer as one VM uses it: through its gate, and over the
+// way to each upstream, whose delay one way Delay gives.
 type GatedDialer struct {
 	Dialer driftupstream.Dialer
 	Gate   *Gate
+	Delay  func(upstream string) time.Duration
 }
 
 // Dial implements driftupstream.Dialer.
@@ -69,12 +72,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return gatedConn{Conn: conn, gate: d.Gate}, nil
+	return gatedConn{Conn: conn, gate: d.Gate, delay: d.Delay(u.Name)}, nil
 }
 
 type gatedConn struct {
 	driftupstream.Conn
-	gate *Gate
+	gate  *Gate
+	delay time.Duration
 }
 
 // Do implements driftupstream.Conn. A context that ended during a pause is
@@ -84,11 +88,24 @@
 	if ctx.Err() != nil {
 		return driftupstream.Failed{Reason: driftshard.ReasonLate, Err: ctx.Err()}
 	}
-	reply := c.Conn.Do(ctx, r)
+	reply := c.travel(ctx, r)
 	c.gate.Pass()
 	return reply
 }
 
+// travel takes the request to the upstream and the reply back.
+func (c gatedConn) travel(ctx context.Context, r driftshard.Request) driftupstream.Reply {
+	lost := driftupstream.Failed{Sent: true, Reason: driftshard.ReasonSilent}
+	if lost.Err = wait(ctx, c.delay); lost.Err != nil {
+		return lost
+	}
+	reply := c.Conn.Do(ctx, r)
+	if lost.Err = wait(ctx, c.delay); lost.Err != nil {
+		return lost
+	}
+	return reply
+}
+
 // GatedPlatform is the platform as one VM reads it, through its gate.
 type GatedPlatform struct {
 	Platform *Platform
--- a/internal/driftfake/network.go
+++ b/internal/driftfake/network.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/almonddrift/almonddrift/internal/driftpeer"
 	pb "github.com/almonddrift/almonddrift/internal/driftpeer/driftpeerpb"
@@ -22,6 +23,7 @@
 	cut    map[link]bool
 	silent map[link]bool
 	calls  map[string]int
+	bytes  int
 	gates  map[string]*Gate
 }
 
@@ -88,6 +90,27 @@
 	return n.calls[method]
 }
 
+// Traffic returns the number of calls of all methods and their size as
+// protobuf messages, replies included.
+func (n *Network) Traffic() (calls, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.calls {
+		calls += c
+	}
+	return calls, n.bytes
+}
+
+func (n *Network) weigh(messages ...any) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, m := range messages {
+		if p, ok := m.(proto.Message); ok {
+			n.bytes += proto.Size(p)
+		}
+	}
+}
+
 // Transport returns the transport of the VM with the given name.
 func (n *Network) Transport(from string) driftpeer.Transport {
 	return &transport{network: n, from: from}
@@ -186,6 +209,7 @@
 	if err != nil {
 		return reply, err
 	}
+	r.network.weigh(q, reply)
 	return reply, r.network.returns(ctx, r.link)
 }
 
--- a/internal/drifttest/fault.go
+++ b/internal/drifttest/fault.go
@@ -170,6 +170,18 @@
 	f.Network.Gate(vm).Resume()
 }
 
+// stopTime is how long what is in flight at the end of a test may take.
+const stopTime = 5 * time.Second
+
+// stop ends all VMs and waits until nothing is in flight.
+func (f *Fleet) stop() {
+	f.resumeAll()
+	for _, vm := range VMs() {
+		f.Kill(vm)
+	}
+	time.Sleep(stopTime)
+}
+
 func (f *Fleet) resumeAll() {
 	for _, vm := range VMs() {
 		f.Resume(vm)
--- a/internal/drifttest/fleet.go
+++ b/internal/drifttest/fleet.go
@@ -31,6 +31,7 @@
 	"github.com/almonddrift/almonddrift/internal/driftnode"
 	"github.com/almonddrift/almonddrift/internal/driftplatform"
 	"github.com/almonddrift/almonddrift/internal/drifttable"
+	"github.com/almonddrift/almonddrift/internal/driftupstream"
 	"github.com/almonddrift/almonddrift/pkg/driftapi"
 )
 
@@ -66,6 +67,7 @@
 	seed    uint64
 	collect bool
 	domains map[string]string
+	homes   map[string]string
 	cancels map[string]context.CancelFunc
 	live    map[string]context.Context
 	boot    uint64
@@ -115,6 +117,10 @@
 		opt(f)
 	}
 	f.Upstreams = size.Upstreams(f.seed, driftfake.WithLedger(f.Ledger))
+	f.homes = make(map[string]string, len(f.Upstreams))
+	for i, u := range f.Upstreams {
+		f.homes[u.Name] = size.Domain(i/size.Replicas, i%size.Replicas)
+	}
 	f.Dialer = driftfake.NewDialer(f.Upstreams...)
 	f.Network = driftfake.NewNetwork(f.delay)
 	f.publish()
@@ -125,7 +131,7 @@
 	for i := range vmCount {
 		f.Start(name(i))
 	}
-	tb.Cleanup(f.resumeAll)
+	tb.Cleanup(f.stop)
 	time.Sleep(settleTime)
 	return f
 }
@@ -151,6 +157,20 @@
 	return farDelay + extra
 }
 
+// DialerOf returns the dialer of a VM, with the delays between its failure
+// domain and those of the upstreams.
+func (f *Fleet) DialerOf(vm string) driftupstream.Dialer {
+	return driftfake.GatedDialer{
+		Dialer: f.Dialer, Gate: f.Network.Gate(vm),
+		Delay: func(upstream string) time.Duration {
+			if f.domains[vm] == f.homes[upstream] {
+				return nearDelay
+			}
+			return farDelay
+		},
+	}
+}
+
 // Slow delays every message between VMs by up to the given time more.
 func (f *Fleet) Slow(most time.Duration) { f.slow.Store(int64(most)) }
 
@@ -194,7 +214,7 @@
 	node := driftnode.New(driftnode.Parts{
 		Self:   drifttable.VM{Name: vm, Domain: f.domains[vm], Boot: f.boot, Callers: vm, Peers: vm},
 		Config: platform, Lister: platform, Transport: f.Network.Transport(vm),
-		Dialer: driftfake.GatedDialer{Dialer: f.Dialer, Gate: gate},
+		Dialer: f.DialerOf(vm),
 		Events: events, Checker: checker, Life: callerLife,
 	})
 	ctx, cancel := context.WithCancel(f.t.Context())
