Space the seeds of the long form and measure owner and query in real time

Cause: rapid counts up from a seed, so neighbouring seeds shared cases; virtual time loaded the processor figures. Change: seeds lie 1000 apart; the slopes of owner and query run in real time.

--- a/internal/driftcapacity/measure_test.go
+++ b/internal/driftcapacity/measure_test.go
@@ -134,6 +134,7 @@
 
 // heap returns the memory in use after a collection, in MB.
 func heap() float64 {
+	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
--- a/internal/driftcapacity/run_test.go
+++ b/internal/driftcapacity/run_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/almonddrift/almonddrift/internal/driftevent"
 	"github.com/almonddrift/almonddrift/internal/driftfake"
 	"github.com/almonddrift/almonddrift/internal/driftnode"
+	"github.com/almonddrift/almonddrift/internal/driftowner"
 	"github.com/almonddrift/almonddrift/internal/driftplatform"
 	"github.com/almonddrift/almonddrift/internal/driftshard"
 	"github.com/almonddrift/almonddrift/internal/driftsteer"
@@ -126,24 +128,27 @@
 const queries = 2000
 
 // runQuery measures front and owner of one node over stand-ins in the same
-// process: no sockets and no time at the upstream.
+// process: no sockets and next to no time at the upstream.
 func runQuery(t *testing.T, shards int) []float64 {
 	t.Helper()
-	return inBubble(t, func(t *testing.T) []float64 {
-		t.Helper()
-		size := driftfake.Size{
-			Service: "counter", Domains: []string{"one"}, Shards: shards, Replicas: 1, Depots: 2,
-			Slots: 4, Connections: 35, Time: time.Microsecond,
-		}
-		node := startOne(t, size, size.Upstreams(1))
-		started := processorTime(t)
-		for i := range queries {
-			node.Front.Query(t.Context(), driftapi.Query{Request: fmt.Sprint(i), Class: "night", Deadline: 1000})
-		}
-		return []float64{float64((processorTime(t) - started).Microseconds()) / queries}
-	})
+	size := driftfake.Size{
+		Service: "counter", Domains: []string{"one"}, Shards: shards, Replicas: 1, Depots: 2,
+		Slots: 4, Connections: 35, Time: time.Microsecond,
+	}
+	node := startOne(t, size, size.Upstreams(1))
+	started := processorTime(t)
+	for i := range queries {
+		node.Front.Query(t.Context(), driftapi.Query{Request: fmt.Sprint(i), Class: "night", Deadline: 1000})
+	}
+	return []float64{float64((processorTime(t) - started).Microseconds()) / queries}
 }
 
+// learnTime and learnQueries are what a node takes to know its upstreams.
+const (
+	learnTime    = 3 * time.Second
+	learnQueries = 200
+)
+
 // startOne runs one node over a size and has it learn its upstreams.
 func startOne(t *testing.T, size driftfake.Size, upstreams []*driftfake.Upstream) *driftnode.Node {
 	t.Helper()
@@ -161,40 +166,44 @@
 		Dialer: driftfake.NewDialer(upstreams...), Events: events, Checker: driftcheck.NewChecker(events),
 	})
 	go func() { _ = node.Run(t.Context()) }()
-	time.Sleep(settleTime)
-	for i := range 200 {
+	time.Sleep(learnTime)
+	for i := range learnQueries {
 		node.Front.Query(t.Context(), driftapi.Query{Request: fmt.Sprintf("first-%d", i), Class: "night", Deadline: 1000})
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(learnTime / learnQueries)
 	}
 	return node
 }
 
-// runOwner measures the memory of the lanes of one owner.
+// runOwner measures the memory of the lanes of one owner, each with a
+// connection.
 func runOwner(t *testing.T, upstreams int) []float64 {
 	t.Helper()
-	return inBubble(t, func(t *testing.T) []float64 {
-		t.Helper()
-		size := driftfake.Size{
-			Service: "counter", Domains: []string{"one"}, Shards: upstreams, Replicas: 1, Depots: 1,
-			Slots: 4, Connections: 35, Time: time.Microsecond,
-		}
-		s := size.Upstreams(1)
-		node := startIdle(t, size, s)
-		before := heap()
-		for i, u := range s {
-			node.Owner.Handle(t.Context(), driftshard.Request{
-				Query: fmt.Sprint(i), Attempt: fmt.Sprint(i), Class: "night", Service: "counter",
-				Upstream: u.Name, Version: 1, Deadline: time.Now().Add(time.Second),
-			})
-		}
-		time.Sleep(time.Second)
-		return []float64{(heap() - before) * 1024}
-	})
-}
-
-func startIdle(t *testing.T, size driftfake.Size, upstreams []*driftfake.Upstream) *driftnode.Node {
-	t.Helper()
-	return startOne(t, size, upstreams)
+	view := drifttable.View{Self: "vm-0", Made: time.Now().Add(time.Hour)}
+	var (
+		rows   []drifttable.Upstream
+		owners []drifttable.Owner
+		fakes  []*driftfake.Upstream
+	)
+	for i := range upstreams {
+		name := fmt.Sprintf("counter-%d", i)
+		rows = append(rows, drifttable.Upstream{Name: name, Service: "counter", Slots: 4, Connections: 35})
+		owners = append(owners, drifttable.Owner{Upstream: name, Name: "vm-0", Candidates: []string{"vm-0"}})
+		fakes = append(fakes, driftfake.NewUpstream(name, driftfake.WithService(time.Microsecond, 0)))
+	}
+	view.Upstreams, view.Owners = drifttable.NewTable(rows...), drifttable.NewTable(owners...)
+	views, dialer := drifttable.NewHolder(view), driftfake.NewDialer(fakes...)
+	events := driftevent.NewLog("vm-0", 1, driftevent.WithSize(1))
+	before := heap()
+	owner := driftowner.New(views, dialer, nil, nil, events, driftcheck.NewChecker(events))
+	for i, u := range rows {
+		owner.Handle(t.Context(), driftshard.Request{
+			Query: fmt.Sprint(i), Attempt: fmt.Sprint(i), Class: "night", Service: "counter",
+			Upstream: u.Name, Version: 1, Deadline: time.Now().Add(time.Second),
+		})
+	}
+	used := (heap() - before) * 1024
+	runtime.KeepAlive(owner)
+	return []float64{used}
 }
 
 func runDocuments(t *testing.T, entries int) []float64 {
--- a/internal/drifttest/long_test.go
+++ b/internal/drifttest/long_test.go
@@ -30,8 +30,12 @@
 	shortChecks = 6
 )
 
-// longChecks is the number of cases for one seed of the long form.
-const longChecks = 10
+// longChecks is the number of cases for one seed of the long form, seedSpan
+// how far apart the seeds lie, since rapid counts up from each.
+const (
+	longChecks = 10
+	seedSpan   = 1000
+)
 
 func TestShort(t *testing.T) {
 	t.Parallel()
@@ -47,7 +51,7 @@
 	cases := 0
 	for seed := *longSeed; time.Since(started) < *longTime; seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			checkScripts(t, seed, longChecks)
+			checkScripts(t, seed*seedSpan, longChecks)
 		})
 		cases += longChecks
 		fmt.Printf("seed %d done, %d cases in %s, failed %t\n", seed, cases, time.Since(started).Round(time.Second), t.Failed())
