--- a/internal/drifttest/fleet.go
+++ b/internal/drifttest/fleet.go
@@ -16,14 +16,13 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/almonddrift/almonddrift/internal/driftcheck"
+	"github.com/almonddrift/almonddrift/internal/driftcontrol"
 	"github.com/almonddrift/almonddrift/internal/driftdocument"
 	"github.com/almonddrift/almonddrift/internal/driftevent"
 	"github.com/almonddrift/almonddrift/internal/driftfake"
@@ -76,7 +75,7 @@
 	gone    map[string]bool
 	hidden  bool
 	number  int
-	slow    atomic.Int64
+	slow    slowness
 
 	mu     sync.Mutex
 	faults []string
@@ -150,7 +149,7 @@
 }
 
 func (f *Fleet) delay(from, to string) time.Duration {
-	extra := time.Duration(rand.Int64N(f.slow.Load() + 1))
+	extra := f.slow.draw()
 	if f.domains[from] == f.domains[to] {
 		return nearDelay + extra
 	}
@@ -171,9 +170,6 @@
 	}
 }
 
-// Slow delays every message between VMs by up to the given time more.
-func (f *Fleet) Slow(most time.Duration) { f.slow.Store(int64(most)) }
-
 func (f *Fleet) publish() {
 	f.Platform.Put(driftdocument.KeyDomains, f.Size.DomainsDocument())
 	f.Platform.Put(driftdocument.KeyClasses, f.Size.ClassesDocument())
@@ -216,6 +212,7 @@
 		Config: platform, Lister: platform, Transport: f.Network.Transport(vm),
 		Dialer: f.DialerOf(vm),
 		Events: events, Checker: checker, Life: callerLife,
+		ControlOptions: []driftcontrol.Option{driftcontrol.WithGate(func(context.Context) { gate.Pass() })},
 	})
 	ctx, cancel := context.WithCancel(f.t.Context())
 	f.mu.Lock()
