Hedge early, and to cold replicas when there is no other

Change: the hedge delay is at most a quarter of the latency target, windows of 2 s; a replica counts as queued when as many requests wait as may run; cold replicas may be hedged to (the owner still refuses what they cannot bear).

--- a/internal/driftfront/latency.go
+++ b/internal/driftfront/latency.go
@@ -10,7 +10,7 @@
 // Shape of the recent latencies that are kept for each class.
 const (
 	latencyWindows   = 2
-	latencyWindow    = 5 * time.Second
+	latencyWindow    = 2 * time.Second
 	latencyRefresh   = 100 * time.Millisecond
 	latencyHighest   = 10 * time.Minute
 	latencyDigits    = 2
@@ -18,7 +18,7 @@
 	percentHedge     = 95
 	percentMedian    = 50
 	hedgeFloor       = time.Millisecond
-	hedgeUntrained   = 4
+	hedgeLatest      = 4
 	medianMultiplier = 1.5
 )
 
@@ -74,8 +74,8 @@
 }
 
 // delay returns how long to wait for a reply before hedging: the recent
-// 95th percentile, and no less than 1.5 times the median. Without enough
-// samples it is a quarter of the latency target.
+// 95th percentile, no less than 1.5 times the median, and no more than a
+// quarter of the latency target, after which a hedge helps less and less.
 func (r *latencyRow) delay(target time.Duration, now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -83,10 +83,11 @@
 		r.refreshed = now
 		r.refresh()
 	}
+	latest := target / hedgeLatest
 	if r.samples < latencySamples {
-		return max(hedgeFloor, target/hedgeUntrained)
+		return max(hedgeFloor, latest)
 	}
-	return max(hedgeFloor, r.hedge)
+	return max(hedgeFloor, min(latest, r.hedge))
 }
 
 func (r *latencyRow) refresh() {
--- a/internal/driftfront/load.go
+++ b/internal/driftfront/load.go
@@ -192,7 +192,10 @@
 type standing struct {
 	score   float64
 	avoided bool
-	queued  bool
+	// cold is set for an upstream that is avoided only while it warms up.
+	cold bool
+	// queued is set while as many requests wait as may run.
+	queued bool
 	// probed is set for a straggler that it is time to try again.
 	probed bool
 }
@@ -218,7 +221,8 @@
 	}
 	if now.Sub(r.loaded) < loadLife {
 		busy += float64(r.load.Queue)
-		s.queued = r.queued(now)
+		s.queued = r.load.Queue >= max(1, r.load.Limit)
+		s.cold = r.load.Cold && !s.avoided
 		s.avoided = s.avoided || r.load.Cold
 	}
 	s.score = latency * (1 + busy/limit)
--- a/internal/driftfront/task.go
+++ b/internal/driftfront/task.go
@@ -238,17 +238,22 @@
 	if len(t.live) >= maxLive || !s.front.settings.hedging {
 		return false
 	}
-	v := s.front.views.Load()
-	s.buffer = s.candidates(s.buffer[:0], v, t, now)
+	s.buffer = s.candidates(s.buffer[:0], s.front.views.Load(), t, now)
 	silent := now.Sub(t.live[len(t.live)-1].started) >= s.delay*silentFactor
 	candidates := slices.DeleteFunc(s.buffer, func(c candidate) bool {
-		return c.standing.avoided || c.standing.queued && !silent
+		return c.standing.avoided && !c.standing.cold || c.standing.queued && !silent
 	})
-	if len(candidates) == 0 || !s.front.pay(supportCost(silent)) {
+	if len(candidates) == 0 {
+		t.due = now.Add(backoffFirst)
+		return false
+	}
+	if !s.front.pay(supportCost(silent)) {
+		t.denials++
+		t.due = now.Add(s.delay << min(t.denials, 2))
 		return false
 	}
 	s.front.counters.hedges.Add(1)
-	s.start(ctx, i, s.front.choose(candidates), true, now)
+	s.start(ctx, i, s.front.choose(favored(candidates)), true, now)
 	return true
 }
 
