--- a/internal/driftnode/node.go
+++ b/internal/driftnode/node.go
@@ -45,6 +45,8 @@
 	Checker   *driftcheck.Checker
 	// Life is how long callers may keep the list of entry VMs.
 	Life time.Duration
+	// ControlOptions change the control plane.
+	ControlOptions []driftcontrol.Option
 	// FrontOptions change the policies of the front.
 	FrontOptions []driftfront.Option
 }
@@ -62,12 +64,13 @@
 // New returns a node. Run starts it.
 func New(p Parts) *Node {
 	n := &Node{Parts: p}
-	n.Control = driftcontrol.New(p.Self, p.Config, p.Lister, p.Transport, p.Events, p.Checker)
+	n.Control = driftcontrol.New(p.Self, p.Config, p.Lister, p.Transport, p.Events, p.Checker, p.ControlOptions...)
 	views := n.Control.Views()
 	handover := driftpeer.NewHandoverClient(views, p.Transport)
 	relay := driftpeer.NewRouter(views, nil, p.Transport, n.Control)
 	n.Owner = driftowner.New(
 		views, p.Dialer, handover, n.Control, p.Events, p.Checker, driftowner.WithRelay(relay),
+		driftowner.WithFresh(driftcontrol.OwnerFresh),
 	)
 	router := driftpeer.NewRouter(views, n.Owner, p.Transport, n.Control)
 	n.Front = driftfront.New(views, router, p.Events, p.Checker, p.FrontOptions...)
