Refuse early with a margin, keep slots of silent requests, test the lane

Cause: at three times capacity 84% of capacity came back in time, refusals took up to 39 ms and 2167 of 40000 requests ended unknown; a silent pooled connection blocked its lane for a second; long requests of an earlier owner were forgotten after ten seconds. Change: the estimate keeps a margin of a quarter; silence is judged by the class's own service time; the earlier owner speaks of what it still has in flight every two seconds.

--- a/internal/driftowner/attempt.go
+++ b/internal/driftowner/attempt.go
@@ -13,8 +13,8 @@
 // Limits of one attempt.
 const (
 	// silentFloor and silentFactor bound an idempotent attempt: the longer of
-	// the floor and that many service times.
-	silentFloor  = 250 * time.Millisecond
+	// the floor and that many service times of its class.
+	silentFloor  = 100 * time.Millisecond
 	silentFactor = 30
 	// lateGrace is how much longer a connection may take to end a request
 	// whose deadline is past, so that it need not be closed.
@@ -207,10 +207,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	end := t.request.Deadline.Add(min(lateGrace, 2*l.service))
-	if t.request.Once {
+	n := l.limiter.norms.find(t.request.Class)
+	if t.request.Once || n == nil || n.Base == 0 {
 		return end
 	}
-	silent := now.Add(max(silentFloor, silentFactor*l.service))
+	silent := now.Add(max(silentFloor, silentFactor*n.recent))
 	if silent.Before(end) {
 		return silent
 	}
@@ -347,7 +348,7 @@
 		}
 		return outcome{result: driftshard.NotRun{Reason: driftshard.ReasonUnreachable}}
 	}
-	l.haunt(t, now)
+	l.haunt(t, fresh, now)
 	switch {
 	case f.Reason != driftshard.ReasonSilent:
 		if !t.detached || !l.policy.closing {
@@ -370,10 +371,11 @@
 	return now.Sub(t.sent) >= min(silentFloor, max(slowSpread*l.service, lateGrace))
 }
 
-// haunt keeps the slot of a request that may still run at the upstream.
-func (l *lane) haunt(t *ticket, now time.Time) {
+// haunt keeps the slot of a request that may still run at the upstream. One
+// on a pooled connection gone silent has most likely never arrived there.
+func (l *lane) haunt(t *ticket, fresh bool, now time.Time) {
 	linger := warmLinger
-	if l.limiter.cold() {
+	if l.limiter.cold() && fresh {
 		linger = coldLinger
 	}
 	end := now.Add(linger)
--- a/internal/driftowner/handover.go
+++ b/internal/driftowner/handover.go
@@ -14,9 +14,10 @@
 const (
 	// handoverLife is how long a received handover is good for.
 	handoverLife = 15 * time.Second
-	// foreignLife is how long requests of the earlier owner count when it
-	// never says that they have ended.
-	foreignLife = 10 * time.Second
+	// foreignLife is how long requests of the earlier owner count after it
+	// last spoke of them, which it does every tellInterval.
+	foreignLife  = 10 * time.Second
+	tellInterval = 2 * time.Second
 	// handoverTries and handoverTimeout bound the sending of one.
 	handoverTries   = 3
 	handoverTimeout = 300 * time.Millisecond
@@ -118,7 +119,7 @@
 func (l *lane) lose(owner string, now time.Time) (h driftshard.Handover, tell bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	first := !l.lost || l.owner != owner
+	tell = !l.lost || l.owner != owner || now.Sub(l.told) >= tellInterval
 	l.lost, l.owner, l.cleared = true, owner, time.Time{}
 	l.refuseAll(driftshard.NotRun{Reason: driftshard.ReasonOwner, Owner: owner})
 	l.pool.drop(func(*link) bool { return true })
@@ -126,7 +127,13 @@
 		Upstream: l.name, Flight: l.busy(now), Limit: l.limiter.limit,
 		Cold: l.limiter.cold(), Boot: l.limiter.boot, Norms: l.limiter.norms.list(), IDs: l.ids.list(),
 	}
-	return h, first || h.Flight == 0
+	if h.Flight == 0 {
+		tell = true
+	}
+	if tell {
+		l.told = now
+	}
+	return h, tell
 }
 
 // recover takes a lane back that was lost and not yet drained. A VM that is
--- /dev/null
+++ b/internal/driftowner/handover_test.go
@@ -0,0 +1,149 @@
+package driftowner
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+	"github.com/almonddrift/almonddrift/internal/driftshard"
+)
+
+func TestOwnerChange(t *testing.T) {
+	t.Run("a warm upstream stays warm and the hold is cut short", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{})
+			w.warm(t.Context())
+			w.own("vm-2")
+			time.Sleep(2 * tickInterval)
+			assertDone(t, w.ask(t.Context(), "vm-2", "fire", fireTarget))
+			assert.Equal(t, worldSlots, w.lane("vm-2").Limit)
+			assert.Nil(t, w.lane("vm-1"))
+		})
+	})
+	t.Run("without a handover a new owner holds and starts cold", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{})
+			w.warm(t.Context())
+			w.freeze("vm-1", true)
+			w.own("vm-2")
+			assertNotRun(t, driftshard.ReasonHold, w.ask(t.Context(), "vm-2", "fire", fireTarget))
+			time.Sleep(testHold)
+			assertDone(t, w.ask(t.Context(), "vm-2", "fire", fireTarget))
+			assert.Equal(t, coldFlight, w.lane("vm-2").Limit)
+		})
+	})
+	t.Run("cold stays cold in the middle of a warm-up", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{}, driftfake.WithCold(1, 60))
+			w.warm(t.Context())
+			w.upstream.Restart()
+			go w.drive(t.Context(), 5*time.Second, nightLoad)
+			go func() {
+				for _, vm := range []string{"vm-2", "vm-1", "vm-2", "vm-1", "vm-2", "vm-1"} {
+					time.Sleep(300 * time.Millisecond)
+					w.own(vm)
+				}
+			}()
+			w.drive(t.Context(), 5*time.Second, load{"vm-2", "night", time.Millisecond, 2 * time.Second})
+			assert.LessOrEqual(t, w.upstream.Counts().ColdOver, worldSlots)
+			assert.False(t, w.upstream.Cold())
+			w.assertSound(t)
+		})
+	})
+	t.Run("a long request of the earlier owner keeps its slot after the hold", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{})
+			w.upstream.SetSlow(1000)
+			w.upstream.Cool()
+			go w.ask(t.Context(), "vm-1", "reserve", time.Minute)
+			synctest.Wait()
+			time.Sleep(10 * time.Millisecond)
+			w.own("vm-2")
+			time.Sleep(2 * testHold)
+			go w.ask(t.Context(), "vm-2", "night", time.Minute)
+			time.Sleep(time.Second)
+			assert.Equal(t, driftshard.Load{Queue: 1, Flight: 1, Limit: 1, Cold: true}, *w.lane("vm-2"))
+			time.Sleep(time.Minute)
+			assert.Zero(t, w.upstream.Counts().ColdOver)
+			w.assertSound(t)
+		})
+	})
+	t.Run("a later handover never raises a limit", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{})
+			w.upstream.Cool()
+			assertDone(t, w.ask(t.Context(), "vm-1", "night", time.Second))
+			w.owners["vm-1"].ReceiveHandover(driftshard.Handover{
+				Upstream: w.upstream.Name, From: "vm-2", Limit: worldSlots,
+				Norms: []driftshard.Norm{{Class: "night", Base: time.Second, Spread: time.Second}},
+			})
+			assert.Equal(t, coldFlight, w.lane("vm-1").Limit)
+		})
+	})
+	t.Run("another VM relays, one hop", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{})
+			assertDone(t, w.ask(t.Context(), "vm-2", "night", time.Second))
+			r := w.request("night", time.Second)
+			r.Relayed = true
+			assertNotRun(t, driftshard.ReasonOwner, w.owners["vm-2"].Handle(t.Context(), r))
+		})
+	})
+}
+
+func TestMarks(t *testing.T) {
+	// queueUp leaves a request in the queue of a busy lane.
+	queueUp := func(t *testing.T, w *world) chan driftshard.Result {
+		t.Helper()
+		w.upstream.SetSlow(1000)
+		go w.ask(t.Context(), "vm-1", "reserve", time.Minute)
+		synctest.Wait()
+		waiting := make(chan driftshard.Result, 1)
+		go func() { waiting <- w.ask(t.Context(), "vm-1", "night", time.Minute) }()
+		time.Sleep(20 * time.Millisecond)
+		return waiting
+	}
+	t.Run("a domain that is out gets nothing new, queued or not", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{})
+			waiting := queueUp(t, w)
+			w.markOut(true)
+			assertNotRun(t, driftshard.ReasonOut, <-waiting)
+			assertNotRun(t, driftshard.ReasonOut, w.ask(t.Context(), "vm-1", "night", time.Second))
+			assert.Equal(t, 1, w.upstream.Counts().Requests)
+			w.assertSound(t)
+		})
+	})
+	t.Run("an upstream that leaves gets nothing new and the control hears of it", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{})
+			w.warm(t.Context())
+			w.upstream.Leave()
+			assertNotRun(t, driftshard.ReasonLeaving, w.ask(t.Context(), "vm-1", "night", time.Second))
+			requests := w.upstream.Counts().Requests
+			w.drive(t.Context(), 5*time.Second, nightLoad)
+			assert.Equal(t, requests, w.upstream.Counts().Requests)
+			assert.Contains(t, w.observed, driftshard.UpstreamParting{Upstream: w.upstream.Name})
+			w.leave(true)
+			time.Sleep(time.Second)
+			w.upstream.Restart()
+			w.leave(false)
+			time.Sleep(time.Second)
+			assertDone(t, w.ask(t.Context(), "vm-1", "night", time.Second))
+			assert.Equal(t, coldFlight, w.lane("vm-1").Limit)
+			w.assertSound(t)
+		})
+	})
+	t.Run("a VM with an old view sends nothing", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{})
+			w.freeze("vm-1", true)
+			time.Sleep(2 * time.Second)
+			assertNotRun(t, driftshard.ReasonStale, w.ask(t.Context(), "vm-1", "night", time.Second))
+			assert.Zero(t, w.upstream.Counts().Requests)
+		})
+	})
+}
--- a/internal/driftowner/lane.go
+++ b/internal/driftowner/lane.go
@@ -50,8 +50,10 @@
 	parted time.Time
 	marked bool
 	// lost is set while another VM owns the upstream, closed for good.
-	lost   bool
-	owner  string
+	lost  bool
+	owner string
+	// told is when the new owner last heard of requests in flight here.
+	told   time.Time
 	closed bool
 }
 
@@ -70,7 +72,7 @@
 // Pauses after failures: the first, and the longest.
 const (
 	firstPause = 50 * time.Millisecond
-	maxPause   = time.Second
+	maxPause   = 500 * time.Millisecond
 )
 
 func (p *pause) start(reason driftshard.Reason, asked time.Duration, now time.Time) {
@@ -184,10 +186,18 @@
 		return false
 	}
 	turns := l.queue.ahead(t.key) + 1 - (l.limiter.limit - busy)
-	wait := l.service * time.Duration(max(turns, 0)) / time.Duration(l.limiter.limit)
-	return now.Add(wait + l.service).After(t.request.Deadline)
+	if turns <= 0 {
+		return now.Add(l.service / 2).After(t.request.Deadline)
+	}
+	wait := l.service * time.Duration(turns) / time.Duration(l.limiter.limit)
+	need := time.Duration(lateMargin * float64(wait+l.service))
+	return now.Add(need).After(t.request.Deadline)
 }
 
+// lateMargin is the share of the estimated time that a request which has to
+// wait must have left, so that most of those admitted end in time.
+const lateMargin = 1.25
+
 // busy is the number of requests that the upstream may be working on.
 func (l *lane) busy(now time.Time) int {
 	kept := l.ghosts[:0]
--- /dev/null
+++ b/internal/driftowner/measure_test.go
@@ -0,0 +1,216 @@
+package driftowner
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+	"github.com/almonddrift/almonddrift/internal/driftshard"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+	"github.com/almonddrift/almonddrift/internal/driftupstream"
+)
+
+// measureSeeds are the seeds of the measurements in docs/measures/owner.md.
+const measureSeeds = 5
+
+// naive is a sender without an owner: a share of the slots, no order, no
+// notion of cold.
+type naive struct {
+	dialer driftupstream.Dialer
+	slots  chan struct{}
+
+	mu   sync.Mutex
+	idle []driftupstream.Conn
+}
+
+// Handle implements driftshard.Handler.
+func (n *naive) Handle(ctx context.Context, r driftshard.Request) driftshard.Result {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	select {
+	case n.slots <- struct{}{}:
+	case <-ctx.Done():
+		return driftshard.NotRun{Reason: driftshard.ReasonLate}
+	}
+	defer func() { <-n.slots }()
+	conn, err := n.take(ctx, r)
+	if err != nil {
+		return driftshard.NotRun{Reason: driftshard.ReasonUnreachable}
+	}
+	switch conn.Do(ctx, r).(type) {
+	case driftupstream.Answered:
+		n.put(conn)
+		return driftshard.Done{}
+	case driftupstream.Shed:
+		n.put(conn)
+		return driftshard.NotRun{Reason: driftshard.ReasonShed}
+	}
+	_ = conn.Close()
+	return driftshard.Unknown{Reason: driftshard.ReasonSilent}
+}
+
+func (n *naive) take(ctx context.Context, r driftshard.Request) (driftupstream.Conn, error) {
+	if conn := n.pop(); conn != nil {
+		return conn, nil
+	}
+	return n.dialer.Dial(ctx, drifttable.Upstream{Name: r.Upstream})
+}
+
+func (n *naive) pop() driftupstream.Conn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	last := len(n.idle) - 1
+	if last < 0 {
+		return nil
+	}
+	conn := n.idle[last]
+	n.idle = n.idle[:last]
+	return conn
+}
+
+func (n *naive) put(conn driftupstream.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.idle = append(n.idle, conn)
+}
+
+// coldRun is what one policy does to an upstream that turns cold.
+type coldRun struct {
+	over, sheds, done, peak int
+	warm                    time.Duration
+}
+
+// runCold loads an upstream at 80% of its capacity through the handlers, lets
+// it turn cold after two seconds and watches it for eight more.
+func runCold(ctx context.Context, w *world, handlers []driftshard.Handler) (run coldRun) {
+	w.drive(ctx, 2*time.Second, load{"vm-1", "night", 2 * time.Millisecond, 2 * time.Second})
+	before := w.upstream.Counts()
+	w.upstream.Cool()
+	cooled := time.Now()
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		for w.upstream.Cold() && time.Since(cooled) < 10*time.Second {
+			time.Sleep(time.Millisecond)
+		}
+		run.warm = time.Since(cooled)
+	}()
+	t := &tally{}
+	var group sync.WaitGroup
+	for i := 0; time.Since(cooled) < 8*time.Second; i++ {
+		group.Go(func() {
+			r := w.request("night", 2*time.Second)
+			t.add(handlers[i%len(handlers)].Handle(ctx, r), 0, 0)
+		})
+		time.Sleep(940 * time.Microsecond)
+	}
+	group.Wait()
+	<-watched
+	after := w.upstream.Counts()
+	run.over, run.sheds = after.ColdOver-before.ColdOver, after.Sheds-before.Sheds
+	run.done, run.peak = t.done, after.PeakFlight
+	return run
+}
+
+func newNaive(w *world, senders, slots int) []driftshard.Handler {
+	handlers := make([]driftshard.Handler, 0, senders)
+	for range senders {
+		handlers = append(handlers, &naive{dialer: w.dialer, slots: make(chan struct{}, slots)})
+	}
+	return handlers
+}
+
+func TestMeasureCold(t *testing.T) {
+	policies := []struct {
+		name     string
+		handlers func(w *world) []driftshard.Handler
+	}{
+		{"owner", func(w *world) []driftshard.Handler { return []driftshard.Handler{w.owners["vm-1"]} }},
+		{"8 senders of 1", func(w *world) []driftshard.Handler { return newNaive(w, 8, 1) }},
+		{"all slots at once", func(w *world) []driftshard.Handler { return newNaive(w, 1, worldSlots) }},
+	}
+	for _, p := range policies {
+		t.Run(p.name, func(t *testing.T) {
+			for seed := range uint64(measureSeeds) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t.Context(), policy{}, driftfake.WithSeed(seed))
+					run := runCold(t.Context(), w, p.handlers(w))
+					t.Logf("seed %d: over %d, sheds %d, answered %d, peak in flight %d, warm after %s",
+						seed, run.over, run.sheds, run.done, run.peak, run.warm)
+					if p.name == "owner" {
+						assert.LessOrEqual(t, run.over, worldSlots)
+						assert.LessOrEqual(t, run.peak, worldSlots)
+					}
+				})
+			}
+		})
+	}
+}
+
+func TestMeasureUrgent(t *testing.T) {
+	policies := []struct {
+		name   string
+		policy policy
+	}{
+		{"all", policy{}},
+		{"no reservation", policy{unreserved: true}},
+		{"no early refusal", policy{patient: true}},
+		{"first come first served", policy{fifo: true, unreserved: true}},
+		{"none", policy{fifo: true, patient: true, unreserved: true}},
+	}
+	for _, service := range []time.Duration{3 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond} {
+		for _, p := range policies {
+			t.Run(service.String()+" "+p.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t.Context(), p.policy, driftfake.WithService(service, 0.5))
+					w.warm(t.Context())
+					r := w.drive(t.Context(), 10*time.Second, nightLoad, fireLoad)
+					t.Logf("fire: %d in time of 500, p99 %s, refused %d, unknown %d; night: %d done, p99 %s, %d unknown",
+						r[1].done-r[1].late, percentile(r[1].took, 0.99), r[1].refused, r[1].unknown,
+						r[0].done, percentile(r[0].took, 0.99), r[0].unknown)
+				})
+			})
+		}
+	}
+}
+
+func TestMeasureCancel(t *testing.T) {
+	for _, p := range []policy{{}, {closing: true}} {
+		name := "left to its deadline"
+		if p.closing {
+			name = "closed"
+		}
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(measureSeeds) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t.Context(), p, driftfake.WithSeed(seed))
+					w.warm(t.Context())
+					opened := w.upstream.Counts().Opened
+					canceled := make(chan int)
+					go func() { canceled <- w.cancelSome(t.Context(), 10*time.Second) }()
+					r := w.drive(t.Context(), 10*time.Second, load{"vm-1", "fire", 1500 * time.Microsecond, fireTarget})[0]
+					t.Logf("seed %d: %d canceled, %d connections opened, %d done, p99 %s, refused %d",
+						seed, <-canceled, w.upstream.Counts().Opened-opened, r.done,
+						percentile(r.took, 0.99), r.refused)
+					w.assertSound(t)
+				})
+			}
+		})
+	}
+}
+
+// cancelSome sends hedges that lose: each is canceled after 2 ms.
+func (w *world) cancelSome(ctx context.Context, length time.Duration) (count int) {
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		once, cancel := context.WithTimeout(ctx, 2*time.Millisecond)
+		w.ask(once, "vm-1", "fire", fireTarget)
+		cancel()
+		count++
+	}
+	return count
+}
--- /dev/null
+++ b/internal/driftowner/once_test.go
@@ -0,0 +1,134 @@
+package driftowner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+	"github.com/almonddrift/almonddrift/internal/driftshard"
+)
+
+func TestOnce(t *testing.T) {
+	t.Run("a duplicate of a request that ran is not run again", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{})
+			r := w.request("reserve", time.Second)
+			assertDone(t, w.owners["vm-1"].Handle(t.Context(), r))
+			time.Sleep(time.Minute)
+			r.Deadline = time.Now().Add(time.Second)
+			assertUnknown(t, driftshard.ReasonDuplicate, w.owners["vm-1"].Handle(t.Context(), r))
+			assert.Equal(t, 1, w.upstream.Runs(r.Query))
+		})
+	})
+	t.Run("a duplicate of a request that may have run is not run again", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{})
+			w.upstream.SetMode(driftfake.Drop)
+			r := w.request("reserve", time.Second)
+			assertUnknown(t, driftshard.ReasonUnreachable, w.owners["vm-1"].Handle(t.Context(), r))
+			w.upstream.SetMode(driftfake.Sound)
+			time.Sleep(100 * time.Millisecond)
+			assertUnknown(t, driftshard.ReasonDuplicate, w.owners["vm-1"].Handle(t.Context(), r))
+			assert.Equal(t, 1, w.upstream.Runs(r.Query))
+		})
+	})
+	t.Run("a duplicate of a request that did not run may run", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{})
+			w.dialer.Cut(w.upstream.Name, true)
+			r := w.request("reserve", time.Second)
+			assertNotRun(t, driftshard.ReasonUnreachable, w.owners["vm-1"].Handle(t.Context(), r))
+			w.dialer.Cut(w.upstream.Name, false)
+			time.Sleep(100 * time.Millisecond)
+			assertDone(t, w.owners["vm-1"].Handle(t.Context(), r))
+			assert.Equal(t, 1, w.upstream.Runs(r.Query))
+			w.assertSound(t)
+		})
+	})
+	t.Run("ids move to the next owner", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{})
+			r := w.request("reserve", time.Minute)
+			assertDone(t, w.owners["vm-1"].Handle(t.Context(), r))
+			w.own("vm-2")
+			time.Sleep(2 * tickInterval)
+			assertUnknown(t, driftshard.ReasonDuplicate, w.owners["vm-2"].Handle(t.Context(), r))
+			w.own("vm-1")
+			time.Sleep(2 * tickInterval)
+			assertUnknown(t, driftshard.ReasonDuplicate, w.owners["vm-1"].Handle(t.Context(), r))
+		})
+	})
+}
+
+func TestCancel(t *testing.T) {
+	cancelAfter := func(t *testing.T, w *world, class string, after time.Duration) driftshard.Result {
+		t.Helper()
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(after, cancel)
+		return w.ask(ctx, "vm-1", class, time.Second)
+	}
+	t.Run("while queued it surely did not run", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{})
+			w.upstream.SetSlow(10)
+			go w.ask(t.Context(), "vm-1", "night", time.Second)
+			synctest.Wait()
+			runs := w.upstream.Counts().Runs
+			assertNotRun(t, driftshard.ReasonCanceled, cancelAfter(t, w, "night", 2*time.Millisecond))
+			assert.Equal(t, runs, w.upstream.Counts().Runs)
+		})
+	})
+	t.Run("in flight it may have run, keeps its slot and its connection", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{})
+			assertDone(t, w.ask(t.Context(), "vm-1", "night", time.Second))
+			opened := w.upstream.Counts().Opened
+			w.upstream.SetSlow(10)
+			assertUnknown(t, driftshard.ReasonCanceled, cancelAfter(t, w, "reserve", 2*time.Millisecond))
+			assert.Equal(t, 1, w.lane("vm-1").Flight)
+			time.Sleep(time.Second)
+			assert.Zero(t, w.lane("vm-1").Flight)
+			assert.Equal(t, opened, w.upstream.Counts().Opened)
+		})
+	})
+}
+
+func TestSilence(t *testing.T) {
+	t.Run("pooled connections gone silent are replaced and not held against the upstream", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{})
+			w.warm(t.Context())
+			w.upstream.SetMode(driftfake.Silent)
+			assertUnknown(t, driftshard.ReasonSilent, w.ask(t.Context(), "vm-1", "night", 2*time.Second))
+			w.upstream.SetMode(driftfake.Sound)
+			opened := w.upstream.Counts().Opened
+			assertDone(t, w.ask(t.Context(), "vm-1", "night", time.Second))
+			assert.Greater(t, w.upstream.Counts().Opened, opened)
+		})
+	})
+	t.Run("a new connection that is silent makes the upstream cold", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{})
+			w.warm(t.Context())
+			w.upstream.SetMode(driftfake.Silent)
+			assertUnknown(t, driftshard.ReasonSilent, w.ask(t.Context(), "vm-1", "night", 2*time.Second))
+			assertUnknown(t, driftshard.ReasonSilent, w.ask(t.Context(), "vm-1", "night", 2*time.Second))
+			assert.True(t, w.lane("vm-1").Cold)
+			assertNotRun(t, driftshard.ReasonSilent, w.ask(t.Context(), "vm-1", "night", 2*time.Second))
+		})
+	})
+	t.Run("crossed and short replies are failed attempts", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{})
+			w.upstream.SetMode(driftfake.Crossed)
+			assertUnknown(t, driftshard.ReasonCrossed, w.ask(t.Context(), "vm-1", "night", time.Second))
+			w.upstream.SetMode(driftfake.Short)
+			assertUnknown(t, driftshard.ReasonShort, w.ask(t.Context(), "vm-1", "night", time.Second))
+			w.assertSound(t)
+		})
+	})
+}
