Ask whole answers of the class whose floor promises them

Cause: the command line's test asked a whole answer of class counter, which may return at 60 ms with 0.9 of the depots; on a loaded machine it did. Ruled out: a lost shard; the answer named both missing depots as late. Change: the tests ask class night, whose floor of 0.99 over 20 depots means whole, so that the verdict no longer hangs on real time. The owner's tests read runs from the ledger. Conclusion: as strict, and the same on every run.

--- a/internal/driftdemo/demo_test.go
+++ b/internal/driftdemo/demo_test.go
@@ -26,7 +26,7 @@
 	client := driftclient.New(demo.Entries(), driftclient.WithCaller("till-1"))
 	for i := range 20 {
 		answer, err := client.Query(ctx, driftapi.Query{
-			Request: fmt.Sprintf("q-%d", i), Class: "counter", Text: "church", Deadline: 30_000,
+			Request: fmt.Sprintf("q-%d", i), Class: "night", Text: "church", Deadline: 30_000,
 		})
 		require.NoError(t, err)
 		assertWhole(t, answer)
--- a/internal/driftowner/once_test.go
+++ b/internal/driftowner/once_test.go
@@ -21,7 +21,7 @@
 			time.Sleep(time.Minute)
 			r.Deadline = time.Now().Add(time.Second)
 			assertUnknown(t, driftshard.ReasonDuplicate, w.owners["vm-1"].Handle(t.Context(), r))
-			assert.Equal(t, 1, w.upstream.Runs(r.Query))
+			assert.Equal(t, 1, w.ledger.Runs(r.Query))
 		})
 	})
 	t.Run("a duplicate of a request that may have run is not run again", func(t *testing.T) {
@@ -33,7 +33,7 @@
 			w.upstream.SetMode(driftfake.Sound)
 			time.Sleep(100 * time.Millisecond)
 			assertUnknown(t, driftshard.ReasonDuplicate, w.owners["vm-1"].Handle(t.Context(), r))
-			assert.Equal(t, 1, w.upstream.Runs(r.Query))
+			assert.Equal(t, 1, w.ledger.Runs(r.Query))
 		})
 	})
 	t.Run("a duplicate of a request that did not run may run", func(t *testing.T) {
@@ -45,7 +45,7 @@
 			w.dialer.Cut(w.upstream.Name, false)
 			time.Sleep(100 * time.Millisecond)
 			assertDone(t, w.owners["vm-1"].Handle(t.Context(), r))
-			assert.Equal(t, 1, w.upstream.Runs(r.Query))
+			assert.Equal(t, 1, w.ledger.Runs(r.Query))
 			w.assertSound(t)
 		})
 	})
--- a/internal/driftowner/world_test.go
+++ b/internal/driftowner/world_test.go
@@ -20,6 +20,7 @@
 // it inside a synctest bubble.
 type world struct {
 	upstream *driftfake.Upstream
+	ledger   *driftfake.Ledger
 	dialer   *driftfake.Dialer
 	owners   map[string]*Owner
 	views    map[string]*drifttable.Holder
@@ -36,12 +37,13 @@
 const worldSlots = 4
 
 func newWorld(ctx context.Context, p policy, opts ...driftfake.UpstreamOption) *world {
+	ledger := driftfake.NewLedger()
 	opts = append([]driftfake.UpstreamOption{
-		driftfake.WithSlots(worldSlots), driftfake.WithOpening(6*time.Millisecond, 35),
+		driftfake.WithLedger(ledger), driftfake.WithSlots(worldSlots), driftfake.WithOpening(6*time.Millisecond, 35),
 	}, opts...)
 	u := driftfake.NewUpstream("counter-1a", opts...)
 	w := &world{
-		upstream: u, dialer: driftfake.NewDialer(u), owners: make(map[string]*Owner),
+		upstream: u, ledger: ledger, dialer: driftfake.NewDialer(u), owners: make(map[string]*Owner),
 		views: make(map[string]*drifttable.Holder), frozen: make(map[string]bool),
 	}
 	w.view = drifttable.View{
