--- a/internal/driftfront/admission.go
+++ b/internal/driftfront/admission.go
@@ -12,9 +12,13 @@
 	limitFirst = 64.0
 	limitLeast = 4.0
 	limitCut   = 0.85
-	limitPause = 50 * time.Millisecond
-	limitCalm  = 500 * time.Millisecond
-	limitGain  = 4.0
+	// busyShare is the share of busy queries above which the limit is cut,
+	// busyQueries how many queries it is smoothed over.
+	busyShare   = 0.5
+	busyQueries = 8
+	limitPause  = 50 * time.Millisecond
+	limitCalm   = 500 * time.Millisecond
+	limitGain   = 4.0
 	// limitSlack is how far the limit may grow past what is in use.
 	limitSlack = 2
 	// shareLeast is the share of a VM that the least urgent class may fill.
@@ -47,6 +51,8 @@
 	limit  float64
 	cut    time.Time
 	took   time.Duration
+	// busy is the smoothed share of queries that were busy.
+	busy float64
 }
 
 // ticket is an admitted query.
@@ -93,7 +99,8 @@
 	a.flight--
 	a.bytes -= t.bytes
 	row.took += (now.Sub(t.started) - row.took) / 8
-	if busy {
+	row.note(busy)
+	if row.busy > busyShare {
 		row.shrink(now)
 		return
 	}
@@ -102,6 +109,15 @@
 	}
 }
 
+// note takes a query into the share of busy ones.
+func (r *classLimit) note(busy bool) {
+	sample := 0.0
+	if busy {
+		sample = 1
+	}
+	r.busy += (sample - r.busy) / busyQueries
+}
+
 // grow raises the limit: by one for each query at first and limitCalm after
 // the last cut, else by limitGain for each round of queries.
 func (r *classLimit) grow(now time.Time) {
--- a/internal/driftfront/once.go
+++ b/internal/driftfront/once.go
@@ -256,8 +256,7 @@
 	g := newGather(h.front.checker, h.call.query.Request, p)
 	if reason := g.check(p.parts[0], a, d); reason != "" {
 		h.front.counters.dropped.Add(1)
-		h.front.events.Record(driftevent.ReplyDropped, h.call.query.Request, a.vm,
-			a.id+" "+a.upstream+" "+string(reason))
+		h.front.events.Record(driftevent.ReplyDropped, h.call.query.Request, a.upstream, a.id+" "+string(reason))
 		return h.unknown(reason)
 	}
 	g.merge(a, d)
--- a/internal/driftfront/search.go
+++ b/internal/driftfront/search.go
@@ -176,8 +176,8 @@
 		return
 	}
 	s.front.counters.dropped.Add(1)
-	s.front.events.Record(driftevent.ReplyDropped, s.call.query.Request, e.attempt.vm,
-		e.attempt.id+" "+e.attempt.upstream+" "+string(reason))
+	s.front.events.Record(driftevent.ReplyDropped, s.call.query.Request, e.attempt.upstream,
+		e.attempt.id+" "+string(reason))
 }
 
 // merge adds a reply to the answer and ends the other attempts at its shard.
