--- a/cmd/almonddrift/demo.go
+++ b/cmd/almonddrift/demo.go
@@ -74,11 +74,18 @@
 	if err != nil {
 		return err
 	}
-	err = out.print(d.JSON, report)
-	if err == nil && report.Violations.Total() > 0 {
-		err = errViolated
+	if err := out.print(d.JSON, report); err != nil {
+		return err
 	}
-	return err
+	return judge(report)
+}
+
+// judge returns the error with which a demo ends that saw a promise broken.
+func judge(r driftdemo.Report) error {
+	if r.Violations.Total() > 0 {
+		return errViolated
+	}
+	return nil
 }
 
 // hold prints how to reach the fleet and waits until ctx ends.
--- a/cmd/almonddrift/main_test.go
+++ b/cmd/almonddrift/main_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/almonddrift/almonddrift/internal/driftcheck"
 	"github.com/almonddrift/almonddrift/internal/driftdemo"
 	"github.com/almonddrift/almonddrift/internal/driftfake"
 )
@@ -42,6 +43,14 @@
 	})
 }
 
+// TestJudge shows that a demo fails on a single violation.
+func TestJudge(t *testing.T) {
+	r := driftdemo.Report{Violations: driftdemo.Violations{{Promise: driftcheck.Cold}, {Promise: driftcheck.Once}}}
+	require.NoError(t, judge(r))
+	r.Violations[1].Number = 1
+	assert.ErrorIs(t, judge(r), errViolated)
+}
+
 // exits runs a command and asserts its exit code: exits CODE COMMAND [ARG]...
 func exits(ts *testscript.TestScript, neg bool, args []string) {
 	const least = 2
