Readiness and liveness with reasons; the age of the configuration in status

Cause: /ready told no reason and /live was always 200. Change: both answer JSON with a reason; liveness follows the control goroutine's views. Status takes the configuration's age from the view.

--- a/internal/driftserve/callers_test.go
+++ b/internal/driftserve/callers_test.go
@@ -118,6 +118,37 @@
 	}
 }
 
+func TestHealth(t *testing.T) {
+	now := time.Unix(100, 0)
+	self := drifttable.VM{Name: "vm-1", Domain: "Recife"}
+	serving := drifttable.View{
+		Self: "vm-1", Number: 1, Made: now, VMs: drifttable.NewTable(self),
+		Classes: drifttable.NewTable(drifttable.Class{Name: "fire"}),
+	}
+	assert.True(t, readiness(&serving, now).OK)
+	assert.True(t, liveness(&serving, now).OK)
+	assert.True(t, liveness(&drifttable.View{}, now).OK, "before the first view")
+	assert.False(t, liveness(&serving, now.Add(liveAge+1)).OK)
+	for name, damage := range map[string]func(v *drifttable.View){
+		"old":        func(v *drifttable.View) { v.Made = now.Add(-readyAge - 1) },
+		"no classes": func(v *drifttable.View) { v.Classes = drifttable.Table[drifttable.Class]{} },
+		"fenced":     func(v *drifttable.View) { v.Fenced = true },
+		"out": func(v *drifttable.View) {
+			out := self
+			out.Out = true
+			v.VMs = drifttable.NewTable(out)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := serving
+			damage(&v)
+			h := readiness(&v, now)
+			assert.False(t, h.OK)
+			assert.NotEmpty(t, h.Reason)
+		})
+	}
+}
+
 // FuzzQuery asserts that any body is either a valid query or refused, and
 // that a body that is read as a query has its request id.
 func FuzzQuery(f *testing.F) {
--- a/internal/driftserve/ops.go
+++ b/internal/driftserve/ops.go
@@ -16,6 +16,9 @@
 // readyAge is the age of a view above which a VM is not ready.
 const readyAge = 2 * time.Second
 
+// liveAge is the age of a view above which a VM is taken to be stuck.
+const liveAge = 30 * time.Second
+
 // Sizes of the largest requests that are read. Other VMs pass on documents
 // of up to a megabyte each.
 const (
@@ -33,17 +36,48 @@
 	engine := gin.New()
 	engine.Use(gin.Recovery())
 	engine.GET("/metrics", gin.WrapH(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})))
-	engine.GET("/live", func(g *gin.Context) { g.Status(http.StatusOK) })
-	engine.GET("/ready", func(g *gin.Context) { g.Status(readiness(node.Views().Load())) })
+	engine.GET("/live", func(g *gin.Context) { liveness(node.Views().Load(), time.Now()).write(g) })
+	engine.GET("/ready", func(g *gin.Context) { readiness(node.Views().Load(), time.Now()).write(g) })
 	return opsHandler{Handler: http.MaxBytesHandler(engine, maxOpsBytes)}
 }
 
-// readiness is 200 once a fresh view has classes and this VM may serve.
-func readiness(v *drifttable.View) int {
-	if v.Age(time.Now()) > readyAge || v.Classes.Len() == 0 || v.VMOut(v.Self) || !v.Settled(time.Now()) {
-		return http.StatusServiceUnavailable
+// health is what a VM answers when it is asked whether it works.
+type health struct {
+	OK bool `json:"ok"`
+	// Reason tells why not.
+	Reason string `json:"reason,omitempty"`
+}
+
+func (h health) write(g *gin.Context) {
+	status := http.StatusOK
+	if !h.OK {
+		status = http.StatusServiceUnavailable
+	}
+	g.JSON(status, h)
+}
+
+// readiness tells whether the VM may be given work: its view is fresh and has
+// classes, it is in service, and what it owns waits for no earlier owner.
+func readiness(v *drifttable.View, now time.Time) health {
+	switch {
+	case v.Age(now) > readyAge:
+		return health{Reason: "its view is too old"}
+	case v.Classes.Len() == 0:
+		return health{Reason: "no classes are in force"}
+	case v.VMOut(v.Self):
+		return health{Reason: "it is out or leaving"}
+	case !v.Settled(now):
+		return health{Reason: "it is fenced, or an upstream waits for its earlier owner"}
+	}
+	return health{OK: true}
+}
+
+// liveness tells whether the control goroutine still publishes views.
+func liveness(v *drifttable.View, now time.Time) health {
+	if v.Number > 0 && v.Age(now) > liveAge {
+		return health{Reason: "control publishes no views"}
 	}
-	return http.StatusOK
+	return health{OK: true}
 }
 
 // peersHandler serves other VMs.
--- a/internal/driftstatus/report.go
+++ b/internal/driftstatus/report.go
@@ -85,12 +85,10 @@
 	Service float64 `json:"service"`
 }
 
-// Sources is what a report is made of. Config is negative when the age of
-// the configuration is not known.
+// Sources is what a report is made of.
 type Sources struct {
 	View       *drifttable.View
 	Boot       uint64
-	Config     time.Duration
 	Lanes      []driftshard.LaneState
 	Violations []driftcheck.Count
 }
@@ -101,13 +99,22 @@
 	self, _ := v.VMs.Get(v.Self)
 	return Report{
 		Name: v.Self, Domain: self.Domain, Boot: s.Boot,
-		View:   View{Number: v.Number, Age: millis(v.Age(now)), Config: millis(s.Config)},
+		View:   View{Number: v.Number, Age: millis(v.Age(now)), Config: configAge(v, now)},
 		Fenced: v.Fenced, Leaving: self.Health == drifttable.Leaving, Out: v.VMOut(v.Self),
 		Revisions: revisions(v), Domains: domains(v), VMs: vms(v), Upstreams: upstreams(v, s.Lanes),
 		Violations: s.Violations,
 	}
 }
 
+// configAge returns -1 while the VM has not heard of the configuration
+// service.
+func configAge(v *drifttable.View, now time.Time) float64 {
+	if v.Contact.IsZero() {
+		return -1
+	}
+	return millis(v.ConfigAge(now))
+}
+
 func millis(d time.Duration) float64 {
 	return float64(d) / float64(time.Millisecond)
 }
--- a/internal/driftstatus/status_test.go
+++ b/internal/driftstatus/status_test.go
@@ -36,6 +36,7 @@
 	r := member(view("vm-1", 2, drifttable.Alive)).Report
 	t.Run("states view, revision and owned upstreams", func(t *testing.T) {
 		assert.InDelta(t, 1000, r.View.Age, 0)
+		assert.InDelta(t, -1, r.View.Config, 0)
 		assert.Equal(t, uint64(2), r.Revision("marks"))
 		assert.Equal(t, []Upstream{{Name: "u-1", Domain: "Recife", Out: true, Cold: true, Limit: 1, Service: 3}}, r.Upstreams)
 		assert.True(t, r.Out)
--- a/internal/drifttest/config_test.go
+++ b/internal/drifttest/config_test.go
@@ -97,6 +97,7 @@
 }
 
 func invalidIsRefused(t *testing.T, f *Fleet) {
+	t.Helper()
 	before := f.revision("vm-1", driftdocument.KeyClasses)
 	reads := f.Platform.Reads()
 	f.Platform.PutRaw(driftdocument.KeyClasses, []byte(`{"classes":[{"name":""}]}`))
@@ -111,6 +112,7 @@
 }
 
 func unknownReferences(t *testing.T, f *Fleet) {
+	t.Helper()
 	classes := f.Size.ClassesDocument()
 	classes.Classes = append(classes.Classes, driftdocument.Class{
 		Name: "ghost", Service: "nowhere", Fast: driftdocument.Duration(time.Second),
@@ -124,6 +126,7 @@
 }
 
 func serviceDown(t *testing.T, f *Fleet) {
+	t.Helper()
 	f.PlatformDown(true)
 	time.Sleep(10 * time.Minute)
 	v := f.Node("vm-1").Views().Load()
