Take a valid document from peers below a refused revision

Cause: a refused revision blocked every lower one, so that a VM replaced while the newest document of the service is invalid took none from its peers and answered nothing. Change: only the revision in force blocks a valid document; peers are asked for what they have in force and was not refused here. Measured: go test ./internal/drifttest -run Scenarios/fails-14: refused unclassified before, passes after.

--- a/internal/driftcontrol/document.go
+++ b/internal/driftcontrol/document.go
@@ -44,6 +44,12 @@
 	return max(t.number(key), t.refused[key])
 }
 
+// lacks reports whether a revision that another VM has in force is newer than
+// the one here, and was not refused here.
+func (t *documentTable) lacks(key string, number uint64) bool {
+	return number > t.number(key) && number != t.refused[key]
+}
+
 func (t *documentTable) put(value driftplatform.Value, doc driftdocument.Document) {
 	t.rows[value.Key] = documentRow{value: value, document: doc}
 	t.changes++
@@ -142,10 +148,13 @@
 func (c *Control) applyDocument(p parsed) bool {
 	value := p.value
 	held := c.documents.number(value.Key)
-	if value.Number <= c.documents.seen(value.Key) {
+	if value.Number <= held {
 		return false
 	}
 	if p.err != nil {
+		if value.Number <= c.documents.refused[value.Key] {
+			return false
+		}
 		c.documents.refused[value.Key] = value.Number
 		c.events.Record(driftevent.ConfigRefused, "", value.Key, p.err.Error())
 		return false
--- a/internal/driftcontrol/exchange.go
+++ b/internal/driftcontrol/exchange.go
@@ -170,7 +170,7 @@
 	}
 	behind := false
 	for _, r := range reply.GetRevisions() {
-		behind = behind || r.GetNumber() > c.documents.seen(r.GetKey())
+		behind = behind || c.documents.lacks(r.GetKey(), r.GetNumber())
 	}
 	if !behind {
 		c.joined = c.joined || len(reply.GetRevisions()) > 0
