--- a/internal/driftowner/attempt.go
+++ b/internal/driftowner/attempt.go
@@ -94,7 +94,7 @@
 		l.pool.release()
 		return nil, l.undialed(ctx, t, now.Sub(started) >= limit/2, now)
 	}
-	c = l.pool.add(conn)
+	c = l.pool.add(conn, now)
 	l.events.Record(driftevent.ConnectionOpened, t.request.Query, l.name, "")
 	if l.closed {
 		l.pool.close(c)
@@ -332,7 +332,7 @@
 // connections and by resets; a pooled connection that went silent only makes
 // the next attempt open a new one.
 func (l *lane) failed(t *ticket, c *link, f driftupstream.Failed, now time.Time) (o outcome) {
-	fresh := c.fresh()
+	fresh := !c.pooled
 	if !f.Sent && f.Reason == driftshard.ReasonLate {
 		l.restore(c)
 		return outcome{result: driftshard.NotRun{Reason: driftshard.ReasonLate}}
--- /dev/null
+++ b/internal/driftowner/bench_test.go
@@ -0,0 +1,55 @@
+package driftowner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftcheck"
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftshard"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+	"github.com/almonddrift/almonddrift/internal/driftupstream"
+)
+
+// instant answers at once.
+type instant struct{}
+
+// Dial implements driftupstream.Dialer.
+func (instant) Dial(context.Context, drifttable.Upstream) (driftupstream.Conn, error) {
+	return instant{}, nil
+}
+
+// Do implements driftupstream.Conn.
+func (instant) Do(_ context.Context, r driftshard.Request) driftupstream.Reply {
+	return driftupstream.Answered{Attempt: r.Attempt, Version: r.Version, Boot: 1}
+}
+
+// Close implements driftupstream.Conn.
+func (instant) Close() error { return nil }
+
+func BenchmarkHandle(b *testing.B) {
+	r := driftshard.Request{
+		Query: "q", Attempt: "q/1", Class: "counter", Upstream: "counter-1a", Version: 1,
+		Deadline: time.Now().Add(time.Hour),
+	}
+	b.Run("bare", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			instant{}.Do(b.Context(), r)
+		}
+	})
+	b.Run("owner", func(b *testing.B) {
+		views := drifttable.NewHolder(drifttable.View{
+			Self: "vm-1", Made: time.Now(),
+			Upstreams: drifttable.NewTable(drifttable.Upstream{Name: "counter-1a", Slots: 4, Connections: 35}),
+			Owners:    drifttable.NewTable(drifttable.Owner{Upstream: "counter-1a", Name: "vm-1"}),
+		})
+		events := driftevent.NewLog("vm-1", 1)
+		o := New(views, instant{}, nil, nil, events, driftcheck.NewChecker(events), WithFresh(time.Hour))
+		b.ReportAllocs()
+		for b.Loop() {
+			o.Handle(b.Context(), r)
+		}
+	})
+}
--- a/internal/driftowner/handover.go
+++ b/internal/driftowner/handover.go
@@ -68,7 +68,7 @@
 	for _, id := range h.IDs {
 		l.ids.add(id, now)
 	}
-	l.foreign, l.foreignEnd = h.Flight, now.Add(foreignLife)
+	l.foreign, l.foreignEnd, l.foreignFrom = h.Flight, now.Add(foreignLife), h.From
 	if h.Flight == 0 {
 		l.cleared = now
 	}
@@ -115,7 +115,8 @@
 }
 
 // lose refuses what waits, closes idle connections, and returns the state to
-// hand over. Tell is set when the new owner has to hear of it.
+// hand over. Requests that the new owner itself had in flight are not told
+// back to it. Tell is set when the new owner has to hear of it.
 func (l *lane) lose(owner string, now time.Time) (h driftshard.Handover, tell bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -123,8 +124,12 @@
 	l.lost, l.owner, l.cleared = true, owner, time.Time{}
 	l.refuseAll(driftshard.NotRun{Reason: driftshard.ReasonOwner, Owner: owner})
 	l.pool.drop(func(*link) bool { return true })
+	flight := l.busy(now)
+	if owner == l.foreignFrom {
+		flight -= l.foreign
+	}
 	h = driftshard.Handover{
-		Upstream: l.name, Flight: l.busy(now), Limit: l.limiter.limit,
+		Upstream: l.name, Flight: flight, Limit: l.limiter.limit,
 		Cold: l.limiter.cold(), Boot: l.limiter.boot, Norms: l.limiter.norms.list(), IDs: l.ids.list(),
 	}
 	if h.Flight == 0 {
--- a/internal/driftowner/lane.go
+++ b/internal/driftowner/lane.go
@@ -33,9 +33,10 @@
 	// connection was closed under them.
 	ghosts []time.Time
 	// foreign is the number of requests that the earlier owner still has in
-	// flight, counted until foreignEnd.
-	foreign    int
-	foreignEnd time.Time
+	// flight, counted until foreignEnd, and foreignFrom is its name.
+	foreign     int
+	foreignEnd  time.Time
+	foreignFrom string
 	// cleared is when the earlier owner said that it has nothing in flight.
 	cleared time.Time
 	pause   pause
--- /dev/null
+++ b/internal/driftowner/machine_test.go
@@ -0,0 +1,160 @@
+package driftowner
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+	"github.com/almonddrift/almonddrift/internal/driftshard"
+)
+
+// step is one fault, or its end, and the time until the next.
+type step struct {
+	name string
+	wait time.Duration
+}
+
+// faults are the steps of a script. Each may come at any moment and again.
+var faults = []string{
+	"cool", "restart", "silence", "slow", "fast", "drop", "crossed", "sound", "cut", "joined",
+	"own vm-1", "own vm-2", "out", "in", "leave", "return", "duplicate", "cancel",
+}
+
+func drawScript(t *rapid.T) []step {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+		return step{
+			name: rapid.SampledFrom(faults).Draw(t, "fault"),
+			wait: time.Duration(rapid.IntRange(0, 1500).Draw(t, "wait")) * time.Millisecond,
+		}
+	}), 1, 12).Draw(t, "script")
+}
+
+// TestAnyFault runs scripts of faults under load from two VMs. No fault may
+// break a promise, and service must come back once the faults are over.
+func TestAnyFault(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		script := drawScript(rt)
+		var failure string
+		synctest.Test(t, func(t *testing.T) {
+			failure = runScript(t.Context(), script)
+		})
+		if failure != "" {
+			rt.Fatalf("%s after %v", failure, script)
+		}
+	})
+}
+
+func runScript(ctx context.Context, script []step) (failure string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := newWorld(ctx, policy{})
+	w.warm(ctx)
+	stopped := make(chan struct{})
+	loadCtx, stop := context.WithCancel(ctx)
+	go func() {
+		defer close(stopped)
+		w.drive(loadCtx, scriptLength(script),
+			load{"vm-1", "night", 4 * time.Millisecond, 2 * time.Second},
+			load{"vm-2", "fire", 15 * time.Millisecond, fireTarget},
+			load{"vm-1", "reserve", 25 * time.Millisecond, 200 * time.Millisecond},
+		)
+	}()
+	coolings := 0
+	for _, s := range script {
+		coolings += w.apply(ctx, s.name)
+		time.Sleep(s.wait)
+	}
+	<-stopped
+	stop()
+	for _, end := range []string{"sound", "fast", "joined", "in", "return", "own vm-1"} {
+		coolings += w.apply(ctx, end)
+	}
+	time.Sleep(2 * testHold)
+	return w.judgeScript(ctx, coolings)
+}
+
+func scriptLength(script []step) (length time.Duration) {
+	for _, s := range script {
+		length += s.wait
+	}
+	return length
+}
+
+// apply does one step and returns how often the upstream turned cold by it.
+func (w *world) apply(ctx context.Context, name string) (coolings int) {
+	u := w.upstream
+	switch name {
+	case "cool":
+		u.Cool()
+		return 1
+	case "restart":
+		u.Restart()
+		return 1
+	case "silence":
+		u.SilenceConnections()
+	case "slow":
+		u.SetSlow(10)
+	case "fast":
+		u.SetSlow(1)
+	case "drop":
+		u.SetMode(driftfake.Drop)
+	case "crossed":
+		u.SetMode(driftfake.Crossed)
+	case "sound":
+		u.SetMode(driftfake.Sound)
+	case "cut", "joined":
+		w.dialer.Cut(u.Name, name == "cut")
+	case "own vm-1", "own vm-2":
+		w.own(name[len("own "):])
+	case "out", "in":
+		w.markOut(name == "out")
+	case "leave":
+		u.Leave()
+		w.leave(true)
+	case "return":
+		u.Restart()
+		w.leave(false)
+		return 1
+	case "duplicate":
+		w.duplicate(ctx)
+	case "cancel":
+		go w.cancelSome(ctx, time.Second)
+	}
+	return 0
+}
+
+// duplicate sends one request that is not idempotent to both VMs, twice.
+func (w *world) duplicate(ctx context.Context) {
+	r := w.request("reserve", 200*time.Millisecond)
+	for _, vm := range []string{"vm-1", "vm-2", "vm-2", "vm-1"} {
+		go w.owners[vm].Handle(ctx, r)
+	}
+}
+
+// judgeScript returns what is wrong after a script, or "".
+func (w *world) judgeScript(ctx context.Context, coolings int) string {
+	c := w.upstream.Counts()
+	over := w.over()
+	switch {
+	case len(w.violations) > 0:
+		return fmt.Sprintf("violation %+v", w.violations[0])
+	case c.Repeats > 0:
+		return fmt.Sprintf("%d repeated runs", c.Repeats)
+	case c.AfterLeaving > 0:
+		return fmt.Sprintf("%d requests after leaving", c.AfterLeaving)
+	case c.PeakFlight > worldSlots:
+		return fmt.Sprintf("%d requests in flight", c.PeakFlight)
+	case over > coolings*worldSlots:
+		return fmt.Sprintf("%d requests over what a cold upstream bears, %d coolings", over, coolings)
+	}
+	r := w.ask(ctx, "vm-2", "night", 2*time.Second)
+	if _, done := r.(driftshard.Done); !done {
+		return fmt.Sprintf("no service after the faults: %+v", r)
+	}
+	return ""
+}
--- a/internal/driftowner/measure_test.go
+++ b/internal/driftowner/measure_test.go
@@ -89,7 +89,7 @@
 // it turn cold after two seconds and watches it for eight more.
 func runCold(ctx context.Context, w *world, handlers []driftshard.Handler) (run coldRun) {
 	w.drive(ctx, 2*time.Second, load{"vm-1", "night", 2 * time.Millisecond, 2 * time.Second})
-	before := w.upstream.Counts()
+	before, overBefore := w.upstream.Counts(), w.over()
 	w.upstream.Cool()
 	cooled := time.Now()
 	watched := make(chan struct{})
@@ -112,7 +112,7 @@
 	group.Wait()
 	<-watched
 	after := w.upstream.Counts()
-	run.over, run.sheds = after.ColdOver-before.ColdOver, after.Sheds-before.Sheds
+	run.over, run.sheds = w.over()-overBefore, after.Sheds-before.Sheds
 	run.done, run.peak = t.done, after.PeakFlight
 	return run
 }
--- a/internal/driftowner/once_test.go
+++ b/internal/driftowner/once_test.go
@@ -21,7 +21,7 @@
 			time.Sleep(time.Minute)
 			r.Deadline = time.Now().Add(time.Second)
 			assertUnknown(t, driftshard.ReasonDuplicate, w.owners["vm-1"].Handle(t.Context(), r))
-			assert.Equal(t, 1, w.upstream.Runs(r.Query))
+			assert.Equal(t, 1, w.upstream.Counts().Runs)
 		})
 	})
 	t.Run("a duplicate of a request that may have run is not run again", func(t *testing.T) {
@@ -33,7 +33,7 @@
 			w.upstream.SetMode(driftfake.Sound)
 			time.Sleep(100 * time.Millisecond)
 			assertUnknown(t, driftshard.ReasonDuplicate, w.owners["vm-1"].Handle(t.Context(), r))
-			assert.Equal(t, 1, w.upstream.Runs(r.Query))
+			assert.Equal(t, 1, w.upstream.Counts().Runs)
 		})
 	})
 	t.Run("a duplicate of a request that did not run may run", func(t *testing.T) {
@@ -45,7 +45,7 @@
 			w.dialer.Cut(w.upstream.Name, false)
 			time.Sleep(100 * time.Millisecond)
 			assertDone(t, w.owners["vm-1"].Handle(t.Context(), r))
-			assert.Equal(t, 1, w.upstream.Runs(r.Query))
+			assert.Equal(t, 1, w.upstream.Counts().Runs)
 			w.assertSound(t)
 		})
 	})
@@ -110,6 +110,15 @@
 			assert.Greater(t, w.upstream.Counts().Opened, opened)
 		})
 	})
+	t.Run("a standby connection that was reset is replaced without a refusal", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t.Context(), policy{})
+			w.warm(t.Context())
+			time.Sleep(2 * tickInterval)
+			w.upstream.Restart()
+			assertDone(t, w.ask(t.Context(), "vm-1", "night", time.Second))
+		})
+	})
 	t.Run("a new connection that is silent makes the upstream cold", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(t.Context(), policy{})
--- a/internal/driftowner/pool.go
+++ b/internal/driftowner/pool.go
@@ -9,12 +9,11 @@
 // link is one connection of a pool.
 type link struct {
 	driftupstream.Conn
-	// used is when the last whole reply arrived, zero while fresh.
+	// used is when the last whole reply arrived, or when it was opened.
 	used time.Time
-}
-
-func (c *link) fresh() bool {
-	return c.used.IsZero()
+	// pooled is set once the connection has waited in the pool. Only one that
+	// has not tells something of the upstream.
+	pooled bool
 }
 
 // pool counts and keeps the connections to one upstream.
@@ -66,14 +65,15 @@
 }
 
 // add makes a reservation a connection.
-func (p *pool) add(c driftupstream.Conn) *link {
-	k := &link{Conn: c}
+func (p *pool) add(c driftupstream.Conn, now time.Time) *link {
+	k := &link{Conn: c, used: now}
 	p.links[k] = true
 	p.opened++
 	return k
 }
 
 func (p *pool) put(c *link) {
+	c.pooled = true
 	p.idle = append(p.idle, c)
 }
 
--- a/internal/driftowner/system.go
+++ b/internal/driftowner/system.go
@@ -103,7 +103,7 @@
 		l.pool.release()
 		return
 	}
-	c := l.pool.add(conn)
+	c := l.pool.add(conn, time.Now())
 	l.events.Record(driftevent.ConnectionOpened, "", u.Name, "standby")
 	l.restore(c)
 }
--- a/internal/driftowner/world_test.go
+++ b/internal/driftowner/world_test.go
@@ -289,6 +289,13 @@
 	assert.Equal(t, driftshard.Unknown{Reason: reason}, r)
 }
 
+// over counts the requests that a cold upstream got over what it bears, also
+// those that came before its first sign of being cold.
+func (w *world) over() int {
+	c := w.upstream.Counts()
+	return c.ColdOver + c.ColdUnseen
+}
+
 // assertSound asserts what no fault may break: the checks inside the program
 // and what the upstream has counted for itself.
 func (w *world) assertSound(t *testing.T) {
