--- a/internal/driftfront/choice.go
+++ b/internal/driftfront/choice.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,17 +40,14 @@
 	distance int
 }
 
-// candidates returns the replicas in service that the given filter passes.
-// Avoided ones are left out unless there is no other.
-func (f *Front) candidates(
-	v *drifttable.View, upstreams []string, pass func(string) bool, now time.Time,
-) []candidate {
-	found := make([]candidate, 0, len(upstreams))
-	good := 0
-	typical := f.loads.typical.get()
-	for _, u := range upstreams {
+// candidates appends to the slice the replicas of a shard that are in
+// service, were not yet tried and have not refused the pinned version.
+func (s *search) candidates(found []candidate, v *drifttable.View, t *task, now time.Time) []candidate {
+	f := s.front
+	typical := f.loads.typical(s.call.class.Service).get()
+	for _, u := range t.part.shard.Upstreams {
 		vm, owned := v.Owner(u)
-		if !owned || v.UpstreamOut(u) || !pass(u) {
+		if !owned || v.UpstreamOut(u) || slices.Contains(t.tried, u) || s.refuses(u, now) {
 			continue
 		}
 		c := candidate{upstream: u, vm: vm, distance: distance(v, u, vm)}
@@ -58,20 +56,24 @@
 			c.standing.avoided = c.standing.avoided || f.loads.avoidsVM(vm, now)
 		}
 		found = append(found, c)
-		if !c.standing.avoided {
+	}
+	return found
+}
+
+// favored moves the candidates that are not avoided to the front, and
+// returns them, or all when every one is avoided.
+func favored(all []candidate) []candidate {
+	good := 0
+	for i := range all {
+		if !all[i].standing.avoided {
+			all[i], all[good] = all[good], all[i]
 			good++
 		}
 	}
-	if good == 0 || good == len(found) {
-		return found
-	}
-	kept := found[:0]
-	for _, c := range found {
-		if !c.standing.avoided {
-			kept = append(kept, c)
-		}
+	if good == 0 {
+		return all
 	}
-	return kept
+	return all[:good]
 }
 
 func distance(v *drifttable.View, upstream, owner string) int {
--- a/internal/driftfront/task.go
+++ b/internal/driftfront/task.go
@@ -15,7 +15,8 @@
 	maxAttempts  = 64
 	silentFactor = 4
 	backoffFirst = 5 * time.Millisecond
-	backoffLast  = 80 * time.Millisecond
+	// backoffDoublings is how often the pause between attempts doubles.
+	backoffDoublings = 6
 )
 
 // taskState is the state of one shard of a search.
@@ -43,6 +44,7 @@
 	last     cost
 	attempts int
 	rounds   int
+	denials  int
 	took     time.Duration
 	// loaded is set once an upstream refused under load.
 	loaded bool
@@ -79,7 +81,7 @@
 	case light:
 		return f.redirects.take()
 	case hedged:
-		return f.settings.hedging && f.hedges.take()
+		return f.hedges.take()
 	case heavy:
 	}
 	return f.retries.take()
@@ -102,39 +104,50 @@
 func (s *search) try(ctx context.Context, i int, now time.Time) bool {
 	t := &s.tasks[i]
 	v := s.front.views.Load()
-	if t.attempts >= maxAttempts || float64(s.call.deadline.Sub(now)) < s.front.loads.typical.get()/2 {
+	if t.attempts >= maxAttempts || float64(s.call.deadline.Sub(now)) < s.front.loads.typical(s.call.class.Service).get()/2 {
 		t.due = s.call.deadline
 		return false
 	}
-	c, found := s.pick(v, t, now)
-	if !found {
-		s.exhaust(i, v, now)
+	if !s.front.pay(t.last) {
+		t.denials++
+		t.due = now.Add(s.backoff(t))
 		return false
 	}
-	if !s.front.pay(t.last) {
-		t.due = now.Add(t.backoff())
+	c, probe, found := s.pick(v, t, now)
+	if !found {
+		s.exhaust(i, v, now)
 		return false
 	}
 	s.start(ctx, i, c, false, now)
+	if probe.upstream != "" && s.front.settings.hedging && s.front.pay(hedged) {
+		s.start(ctx, i, probe, true, now)
+	}
 	t.due = now.Add(s.delay)
 	return true
 }
 
 // pick returns the replica for the next attempt: the one that a refusal
-// named, else one not yet tried, else one not yet tried over a relay.
-func (s *search) pick(v *drifttable.View, t *task, now time.Time) (c candidate, found bool) {
+// named, else one not yet tried, else one not yet tried over a relay. The
+// probe is a straggler to try beside it, if it is time for that.
+func (s *search) pick(v *drifttable.View, t *task, now time.Time) (c, probe candidate, found bool) {
 	if t.next.vm != "" {
 		c = candidate{upstream: t.next.upstream, vm: t.next.vm}
 		t.next = redirect{}
-		return c, true
+		return c, probe, true
+	}
+	s.buffer = s.candidates(s.buffer[:0], v, t, now)
+	all := s.buffer
+	if len(all) == 0 {
+		c, found = s.relay(v, t, now)
+		return c, probe, found
 	}
-	candidates := s.front.candidates(v, t.part.shard.Upstreams, func(u string) bool {
-		return !slices.Contains(t.tried, u) && !s.refuses(u, now)
-	}, now)
-	if len(candidates) > 0 {
-		return s.front.choose(candidates), true
+	good := favored(all)
+	for _, straggler := range all[len(good):] {
+		if straggler.standing.probed {
+			probe = straggler
+		}
 	}
-	return s.relay(v, t, now)
+	return s.front.choose(good), probe, true
 }
 
 func (s *search) refuses(upstream string, now time.Time) bool {
@@ -173,7 +186,7 @@
 	t.rounds++
 	t.tried, t.relays = t.tried[:0], t.relays[:0]
 	t.last = max(t.last, light)
-	t.due = now.Add(t.backoff())
+	t.due = now.Add(s.backoff(t))
 }
 
 // closed returns why no replica of a shard can serve it, or "" if one can.
@@ -205,9 +218,16 @@
 	return driftshard.ReasonOut
 }
 
-// backoff returns the pause before the next round at a shard.
-func (t *task) backoff() time.Duration {
-	return min(backoffLast, backoffFirst<<min(t.rounds, 5))
+// backoff returns the pause before the next round at a shard, no longer than
+// the latency target.
+func (s *search) backoff(t *task) time.Duration {
+	return min(s.call.class.Fast, backoff(t.rounds+t.denials))
+}
+
+// backoff returns the pause before an attempt after the given number of
+// attempts in vain.
+func backoff(vain int) time.Duration {
+	return backoffFirst << min(vain, backoffDoublings)
 }
 
 // support starts another attempt beside one that is late: first a hedge,
@@ -215,15 +235,13 @@
 func (s *search) support(ctx context.Context, i int, now time.Time) bool {
 	t := &s.tasks[i]
 	t.due = now.Add(s.delay * silentFactor)
-	if len(t.live) >= maxLive {
+	if len(t.live) >= maxLive || !s.front.settings.hedging {
 		return false
 	}
 	v := s.front.views.Load()
-	candidates := s.front.candidates(v, t.part.shard.Upstreams, func(u string) bool {
-		return !slices.Contains(t.tried, u) && !s.refuses(u, now)
-	}, now)
+	s.buffer = s.candidates(s.buffer[:0], v, t, now)
 	silent := now.Sub(t.live[len(t.live)-1].started) >= s.delay*silentFactor
-	candidates = slices.DeleteFunc(candidates, func(c candidate) bool {
+	candidates := slices.DeleteFunc(s.buffer, func(c candidate) bool {
 		return c.standing.avoided || c.standing.queued && !silent
 	})
 	if len(candidates) == 0 || !s.front.pay(supportCost(silent)) {
