--- a/internal/driftowner/world_test.go
+++ b/internal/driftowner/world_test.go
@@ -20,7 +20,6 @@
 // it inside a synctest bubble.
 type world struct {
 	upstream *driftfake.Upstream
-	ledger   *driftfake.Ledger
 	dialer   *driftfake.Dialer
 	owners   map[string]*Owner
 	views    map[string]*drifttable.Holder
@@ -37,13 +36,12 @@
 const worldSlots = 4
 
 func newWorld(ctx context.Context, p policy, opts ...driftfake.UpstreamOption) *world {
-	ledger := driftfake.NewLedger()
 	opts = append([]driftfake.UpstreamOption{
-		driftfake.WithLedger(ledger), driftfake.WithSlots(worldSlots), driftfake.WithOpening(6*time.Millisecond, 35),
+		driftfake.WithSlots(worldSlots), driftfake.WithOpening(6*time.Millisecond, 35),
 	}, opts...)
 	u := driftfake.NewUpstream("counter-1a", opts...)
 	w := &world{
-		upstream: u, ledger: ledger, dialer: driftfake.NewDialer(u), owners: make(map[string]*Owner),
+		upstream: u, dialer: driftfake.NewDialer(u), owners: make(map[string]*Owner),
 		views: make(map[string]*drifttable.Holder), frozen: make(map[string]bool),
 	}
 	w.view = drifttable.View{
@@ -291,6 +289,13 @@
 	assert.Equal(t, driftshard.Unknown{Reason: reason}, r)
 }
 
+// over counts the requests that a cold upstream got over what it bears, also
+// those that came before its first sign of being cold.
+func (w *world) over() int {
+	c := w.upstream.Counts()
+	return c.ColdOver + c.ColdUnseen
+}
+
 // assertSound asserts what no fault may break: the checks inside the program
 // and what the upstream has counted for itself.
 func (w *world) assertSound(t *testing.T) {
