--- a/internal/drifttest/config_test.go
+++ b/internal/drifttest/config_test.go
@@ -141,6 +141,7 @@
 // steadyReads asserts that reads follow the number of readers, two a key and
 // domain, and not the number of VMs.
 func steadyReads(t *testing.T, f *Fleet) {
+	t.Helper()
 	time.Sleep(time.Minute)
 	before := f.Platform.Reads()
 	time.Sleep(10 * time.Minute)
