Bound the control cost of a VM by its own domain's ring

Cause: VMs in large domains got rosters of whole domains, and VMs probed every half second were asked after by relays each time. Change: rosters only to VMs whose voter the asked VM is, with the seats it votes on; relays only after a direct probe failed; probes end after 300 ms.

--- a/internal/driftcontrol/control.go
+++ b/internal/driftcontrol/control.go
@@ -63,6 +63,8 @@
 	started       time.Time
 	awake         time.Time
 	watchDue      time.Time
+	near          []string
+	nearNumber    uint64
 	watchedNumber uint64
 	number        uint64
 	listRead      bool
--- /dev/null
+++ b/internal/driftcontrol/cost_test.go
@@ -0,0 +1,165 @@
+package driftcontrol_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/almonddrift/almonddrift/internal/driftcheck"
+	"github.com/almonddrift/almonddrift/internal/driftcontrol"
+	"github.com/almonddrift/almonddrift/internal/driftdocument"
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftfake"
+	"github.com/almonddrift/almonddrift/internal/driftpeer"
+	pb "github.com/almonddrift/almonddrift/internal/driftpeer/driftpeerpb"
+	"github.com/almonddrift/almonddrift/internal/driftplatform"
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+)
+
+// meter counts what VMs send one another for control.
+type meter struct {
+	calls, bytes atomic.Int64
+}
+
+// meteredTransport counts calls and the sizes of their messages.
+type meteredTransport struct {
+	driftpeer.Transport
+	meter *meter
+}
+
+func (t meteredTransport) Fresh(address string) pb.Peer {
+	return meteredPeer{Peer: t.Transport.Fresh(address), meter: t.meter}
+}
+
+type meteredPeer struct {
+	pb.Peer
+	meter *meter
+}
+
+func (p meteredPeer) Probe(ctx context.Context, w *pb.ProbeRequest) (*pb.ProbeReply, error) {
+	r, err := p.Peer.Probe(ctx, w)
+	p.meter.count(w, r)
+	return r, err
+}
+
+func (p meteredPeer) Relay(ctx context.Context, w *pb.RelayRequest) (*pb.ProbeReply, error) {
+	r, err := p.Peer.Relay(ctx, w)
+	p.meter.count(w, r)
+	return r, err
+}
+
+func (p meteredPeer) Documents(ctx context.Context, w *pb.DocumentsRequest) (*pb.DocumentsReply, error) {
+	r, err := p.Peer.Documents(ctx, w)
+	p.meter.count(w, r)
+	return r, err
+}
+
+func (m *meter) count(request, reply proto.Message) {
+	m.calls.Add(1)
+	m.bytes.Add(int64(proto.Size(request) + proto.Size(reply)))
+}
+
+// controlPeer answers the calls of the control plane alone.
+type controlPeer struct {
+	pb.Peer
+	*driftcontrol.Control
+}
+
+func (p controlPeer) Probe(ctx context.Context, w *pb.ProbeRequest) (*pb.ProbeReply, error) {
+	return p.Control.Probe(ctx, w)
+}
+
+func (p controlPeer) Relay(ctx context.Context, w *pb.RelayRequest) (*pb.ProbeReply, error) {
+	return p.Control.Relay(ctx, w)
+}
+
+func (p controlPeer) Documents(ctx context.Context, w *pb.DocumentsRequest) (*pb.DocumentsReply, error) {
+	return p.Control.Documents(ctx, w)
+}
+
+// largest is the number of VMs of the largest fleet that is measured.
+var largest = flag.Int("largest", 64, "number of VMs of the largest fleet whose control cost is measured")
+
+// cost is the control cost of one VM a second, sent and received together
+// counted once, at the VM that asks.
+type cost struct {
+	Calls, Bytes float64
+	Fenced       int
+}
+
+const (
+	costSettle = 10 * time.Second
+	costTime   = 5 * time.Second
+	// maxBytes is the most that control may cost a VM a second.
+	maxBytes = 3000
+)
+
+// measureCost runs the control planes of a fleet of the given size.
+func measureCost(t *testing.T, count int) (c cost) {
+	t.Helper()
+	size := driftfake.Tacada()
+	platform, m := driftfake.NewPlatform(), &meter{}
+	platform.Put(driftdocument.KeyDomains, size.DomainsDocument())
+	platform.Put(driftdocument.KeyClasses, size.ClassesDocument())
+	platform.Put(driftdocument.KeyMarks, driftdocument.Marks{})
+	network := driftfake.NewNetwork(func(string, string) time.Duration { return time.Millisecond })
+	ctx, cancel := context.WithCancel(t.Context())
+	var (
+		running  sync.WaitGroup
+		controls []*driftcontrol.Control
+		listed   []driftplatform.ListedVM
+	)
+	for i := range count {
+		name, domain := fmt.Sprintf("vm-%04d", i), size.Domains[i%len(size.Domains)]
+		listed = append(listed, driftplatform.ListedVM{Name: name, Domain: domain, Callers: name, Peers: name})
+		events := driftevent.NewLog(name, 1, driftevent.WithSize(16))
+		control := driftcontrol.New(
+			drifttable.VM{Name: name, Domain: domain, Boot: uint64(i + 1), Callers: name, Peers: name},
+			platform, platform, meteredTransport{Transport: network.Transport(name), meter: m},
+			events, driftcheck.NewChecker(events),
+		)
+		network.Join(name, controlPeer{Control: control})
+		controls = append(controls, control)
+	}
+	platform.SetVMs(listed...)
+	for _, control := range controls {
+		running.Go(func() { _ = control.Run(ctx) })
+	}
+	time.Sleep(costSettle)
+	calls, bytes := m.calls.Load(), m.bytes.Load()
+	time.Sleep(costTime)
+	seconds := costTime.Seconds() * float64(count)
+	c.Calls = float64(m.calls.Load()-calls) / seconds
+	c.Bytes = float64(m.bytes.Load()-bytes) / seconds
+	for _, control := range controls {
+		if control.Views().Load().Fenced {
+			c.Fenced++
+		}
+	}
+	cancel()
+	running.Wait()
+	return c
+}
+
+// TestControlCost asserts that control costs a VM no more in a large fleet
+// than in a small one.
+func TestControlCost(t *testing.T) {
+	for _, count := range []int{8, *largest} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := measureCost(t, count)
+				t.Logf("%d VMs: %.1f calls/s, %.0f bytes/s a VM, %d fenced", count, c.Calls, c.Bytes, c.Fenced)
+				assert.LessOrEqual(t, c.Bytes, float64(maxBytes))
+				assert.Zero(t, c.Fenced)
+			})
+		})
+	}
+}
--- a/internal/driftcontrol/owner.go
+++ b/internal/driftcontrol/owner.go
@@ -53,7 +53,7 @@
 		switch {
 		case name == c.self.Name:
 			s.serves = !c.fenced && !m.leaving() && !m.vm.Out
-		case m.vm.Domain == c.self.Domain:
+		case m.vm.Domain == c.self.Domain && (!s.serves || len(c.near) <= smallDomain):
 			s.excluded = c.excluded(name, now)
 		}
 		all = append(all, s)
--- a/internal/driftcontrol/probe.go
+++ b/internal/driftcontrol/probe.go
@@ -21,7 +21,7 @@
 	// relayInterval is the time between two relayed probes of a silent VM.
 	relayInterval = 300 * time.Millisecond
 	// probeTimeout bounds a probe.
-	probeTimeout = 500 * time.Millisecond
+	probeTimeout = 300 * time.Millisecond
 	// maxRelays is how many VMs are asked to relay at a time.
 	maxRelays = 3
 	// pauseLimit is the gap between two steps of the control goroutine from
@@ -35,6 +35,9 @@
 	interval      time.Duration
 	pending       bool
 	introduced    bool
+	// votes is set for a VM that votes on this one, failed while the last
+	// probe had no answer.
+	votes, failed bool
 }
 
 type (
@@ -71,7 +74,7 @@
 		if !m.probe.pending && !now.Before(m.probe.due) {
 			c.launchProbe(ctx, m, now)
 		}
-		if now.Sub(m.lastSign()) > suspectAfter && !now.Before(m.probe.relayDue) {
+		if m.probe.failed && now.Sub(m.lastSign()) > suspectAfter && !now.Before(m.probe.relayDue) {
 			m.probe.relayDue = now.Add(relayInterval)
 			c.launchRelays(ctx, m)
 		}
@@ -130,7 +133,7 @@
 // probeRequest builds the probe of one VM.
 func (c *Control) probeRequest(m *member, now time.Time) *pb.ProbeRequest {
 	return &pb.ProbeRequest{
-		Self: c.selfMember(!m.probe.introduced), Roster: m.told.digest, Vote: true,
+		Self: c.selfMember(!m.probe.introduced), Roster: m.told.digest, Vote: m.probe.votes,
 		Held: c.documents.digest, Partings: c.partings.recent(now),
 	}
 }
@@ -207,6 +210,7 @@
 		return
 	}
 	m.probe.pending = false
+	m.probe.failed = e.reply == nil
 	if e.reply == nil {
 		return
 	}
@@ -284,7 +288,7 @@
 	far := c.farTargets()
 	for name, m := range c.members.rows {
 		_, votes := voters[name]
-		m.probe.interval = watchInterval
+		m.probe.interval, m.probe.votes = watchInterval, votes
 		if votes {
 			m.probe.interval = voterInterval
 		}
--- a/internal/driftcontrol/seat.go
+++ b/internal/driftcontrol/seat.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -117,7 +118,7 @@
 	r := &pb.Roster{}
 	for _, name := range c.members.names {
 		m := c.members.rows[name]
-		if m.vm.Domain != domain || m.seat.state == absent {
+		if m.seat.state == absent || m.vm.Domain != domain || !c.votesOn(name, domain) {
 			continue
 		}
 		r.Seats = append(r.Seats, &pb.Seat{Name: name, Boot: m.vm.Boot, Granted: m.seat.state == granted})
@@ -126,6 +127,16 @@
 	return r
 }
 
+// votesOn reports whether this VM votes on the subject: in a domain too large
+// for all to vote on all, only the ring of the subject does.
+func (c *Control) votesOn(subject, domain string) bool {
+	if domain != c.self.Domain {
+		return true
+	}
+	near := c.domainVMs(domain)
+	return len(near) <= smallDomain || slices.Contains(ring(near, subject, ringVoters), c.self.Name)
+}
+
 func rosterDigest(seats []*pb.Seat) uint64 {
 	d := xxhash.New()
 	for _, s := range seats {
--- a/internal/driftcontrol/vote.go
+++ b/internal/driftcontrol/vote.go
@@ -1,6 +1,7 @@
 package driftcontrol
 
 import (
+	"slices"
 	"time"
 
 	pb "github.com/almonddrift/almonddrift/internal/driftpeer/driftpeerpb"
@@ -115,6 +116,16 @@
 // domainVMs returns the listed VMs of a domain in order; the known ones while
 // none is listed.
 func (c *Control) domainVMs(domain string) []string {
+	if domain != c.self.Domain {
+		return c.findVMs(domain)
+	}
+	if c.nearNumber != c.members.number || c.near == nil {
+		c.near, c.nearNumber = c.findVMs(domain), c.members.number
+	}
+	return c.near
+}
+
+func (c *Control) findVMs(domain string) []string {
 	var listed, known []string
 	for _, name := range c.members.names {
 		m := c.members.rows[name]
@@ -146,11 +157,9 @@
 
 // ring returns the subject and the names that follow it, count in all.
 func ring(names []string, subject string, count int) []string {
-	start := 0
-	for i, name := range names {
-		if name <= subject {
-			start = i
-		}
+	start, found := slices.BinarySearch(names, subject)
+	if !found && start > 0 {
+		start--
 	}
 	voters := make([]string, 0, count)
 	for i := range min(count, len(names)) {
