Pass news of lost VMs on inside large domains; read the VM list less often in large fleets

Cause: in a domain of more than nine VMs only the ring of a lost VM knew of it, and nobody could take its upstreams before the list dropped it. Change: probes name lost VMs; a VM that would follow a lost one asks that one's voters. The interval between two readings of the list grows with the fleet.

--- a/internal/driftcontrol/control.go
+++ b/internal/driftcontrol/control.go
@@ -64,6 +64,8 @@
 	awake         time.Time
 	watchDue      time.Time
 	near          []string
+	far           []string
+	farDue        time.Time
 	nearNumber    uint64
 	watchedNumber uint64
 	number        uint64
@@ -311,9 +313,23 @@
 // readList reads the published VM list until ctx ends.
 func (c *Control) readList(ctx context.Context) {
 	for ctx.Err() == nil {
+		interval := c.listing
 		if r, ok := c.lister.List(ctx).(driftplatform.Listed); ok {
+			interval = listInterval(c.listing, len(r.VMs))
 			c.tell(ctx, listRead{vms: r.VMs})
 		}
-		sleep(ctx, c.listing)
+		sleep(ctx, interval)
 	}
 }
+
+// Sizes of the intervals between two reads of the VM list.
+const (
+	vmsPerInterval = 32
+	maxListing     = 30 * time.Second
+)
+
+// listInterval grows with the fleet, so that the reads of all VMs together do
+// not.
+func listInterval(listing time.Duration, vms int) time.Duration {
+	return min(listing*time.Duration(max(1, vms/vmsPerInterval)), maxListing)
+}
--- a/internal/driftcontrol/home.go
+++ b/internal/driftcontrol/home.go
@@ -50,7 +50,7 @@
 			since = now
 			c.emptySince[d.Name] = now
 		}
-		if c.listRead && now.Sub(since) > adoptAfter {
+		if c.listRead && now.Sub(since) > adoptAfter+2*listInterval(c.listing, len(c.members.listed)) {
 			t.empty[d.Name] = true
 		}
 	}
--- a/internal/driftcontrol/member.go
+++ b/internal/driftcontrol/member.go
@@ -49,6 +49,9 @@
 	seat     seat
 	probe    probing
 	told     statement
+	// rumorUntil is until when other VMs' word that the VM is gone counts,
+	// spreadUntil until when this VM passes it on.
+	rumorUntil, spreadUntil time.Time
 	// pulling is set while documents are asked for.
 	pulling bool
 }
@@ -72,6 +75,8 @@
 	switch {
 	case m.leaving():
 		return drifttable.Leaving
+	case !m.watched && now.Before(m.rumorUntil):
+		return drifttable.Dead
 	case !m.watched:
 		return drifttable.Alive
 	case silence > silenceLimit:
@@ -86,7 +91,7 @@
 func (m *member) hear(now time.Time) {
 	m.met = true
 	m.heard = now
-	m.doubted = time.Time{}
+	m.doubted, m.rumorUntil, m.spreadUntil = time.Time{}, time.Time{}, time.Time{}
 }
 
 // flap counts a return and delays the next ownership.
--- a/internal/driftcontrol/owner.go
+++ b/internal/driftcontrol/owner.go
@@ -27,6 +27,9 @@
 	held   map[string]time.Time
 	basis  []standing
 	source uint64
+	// unsure are the lost VMs whose upstreams this VM would take once enough
+	// voters exclude them.
+	unsure map[string]bool
 }
 
 func newOwnerTable() ownerTable {
@@ -72,6 +75,12 @@
 	}
 	c.owners.basis, c.owners.source, c.homesBefore = basis, c.tables.number, homes
 	groups := groupStandings(basis)
+	c.owners.unsure = make(map[string]bool)
+	defer func() {
+		if len(c.owners.unsure) > 0 {
+			c.watchDue = now
+		}
+	}()
 	rows := make([]drifttable.Owner, 0, upstreams.Len())
 	for u := range upstreams.All() {
 		home := homes.of(u)
@@ -112,15 +121,17 @@
 	if group == nil {
 		return o
 	}
-	sure := true
+	var doubtful []string
 	for _, name := range drifttable.Rank(u.Name, group.names) {
 		s := group.rows[name]
 		if !s.serves || s.excluded {
-			sure = sure && s.excluded
+			if !s.excluded {
+				doubtful = append(doubtful, name)
+			}
 			continue
 		}
 		o.Candidates = append(o.Candidates, name)
-		if len(o.Candidates) == 1 && (name != c.self.Name || sure) {
+		if len(o.Candidates) == 1 && c.mayOwn(name, doubtful) {
 			o.Name = name
 		}
 	}
@@ -128,6 +139,18 @@
 	return o
 }
 
+// mayOwn reports whether the first candidate owns the upstream. This VM does
+// only when all VMs that rank before it are surely excluded.
+func (c *Control) mayOwn(name string, doubtful []string) bool {
+	if name != c.self.Name || len(doubtful) == 0 {
+		return true
+	}
+	for _, subject := range doubtful {
+		c.owners.unsure[subject] = true
+	}
+	return false
+}
+
 // hold returns the moment before which this VM may not dispatch to an
 // upstream that it owns.
 func (c *Control) hold(o drifttable.Owner, now time.Time) time.Time {
--- a/internal/driftcontrol/probe.go
+++ b/internal/driftcontrol/probe.go
@@ -134,7 +134,7 @@
 func (c *Control) probeRequest(m *member, now time.Time) *pb.ProbeRequest {
 	return &pb.ProbeRequest{
 		Self: c.selfMember(!m.probe.introduced), Roster: m.told.digest, Vote: m.probe.votes,
-		Held: c.documents.digest, Partings: c.partings.recent(now),
+		Held: c.documents.digest, Partings: c.partings.recent(now), Members: c.rumors(now),
 	}
 }
 
@@ -172,7 +172,7 @@
 // answerProbe replies to a probe by another VM.
 func (c *Control) answerProbe(m probeReceived, now time.Time) {
 	w := m.request
-	reply := &pb.ProbeReply{Self: c.selfMember(false), Held: c.documents.digest}
+	reply := &pb.ProbeReply{Self: c.selfMember(false), Held: c.documents.digest, Members: c.rumors(now)}
 	sender, current := c.learn(w.GetSelf(), now)
 	if sender == nil {
 		reply.Introduce = true
@@ -182,6 +182,7 @@
 	if current {
 		sender.hear(now)
 		c.partings.learn(w.GetPartings(), now)
+		c.learnRumors(w.GetMembers(), now)
 		c.answerHeld(w, reply, now)
 	}
 	if current && w.GetVote() {
@@ -226,6 +227,7 @@
 		}
 	}
 	c.partings.learn(e.reply.GetPartings(), now)
+	c.learnRumors(e.reply.GetMembers(), now)
 	c.noteHeld(ctx, m, e.reply, now)
 }
 
@@ -282,10 +284,13 @@
 		return
 	}
 	c.watchedNumber, c.watchDue = c.members.number, now.Add(time.Second)
-	voters := c.electorate(c.self.Name).weights
 	near := c.domainVMs(c.self.Domain)
+	voters := c.voters(near)
 	all := len(c.members.names) <= smallFleet
-	far := c.farTargets()
+	if !now.Before(c.farDue) {
+		c.far, c.farDue = c.farTargets(), now.Add(time.Second)
+	}
+	far := c.far
 	for name, m := range c.members.rows {
 		_, votes := voters[name]
 		m.probe.interval, m.probe.votes = watchInterval, votes
@@ -304,15 +309,31 @@
 	}
 }
 
-// farTargets returns a few VMs of other domains to probe for a while.
+// voters returns the VMs that vote on this one, or on a lost VM whose
+// upstreams this one would take.
+func (c *Control) voters(near []string) map[string]int {
+	voters := c.electorate(c.self.Name).weights
+	for subject := range c.owners.unsure {
+		if len(near) <= smallDomain {
+			break
+		}
+		for _, name := range ring(near, subject, ringVoters) {
+			voters[name] = 1
+		}
+	}
+	return voters
+}
+
+// farTargets returns a few random VMs to probe for a while, most of this
+// domain: news travel along them.
 func (c *Control) farTargets() []string {
 	if len(c.members.listed) == 0 {
 		return nil
 	}
-	var far []string
-	for range maxFar {
-		name := c.members.listed[c.random.IntN(len(c.members.listed))]
-		far = append(far, name)
+	near := c.domainVMs(c.self.Domain)
+	far := []string{c.members.listed[c.random.IntN(len(c.members.listed))]}
+	for range maxFar - 1 {
+		far = append(far, near[c.random.IntN(len(near))])
 	}
 	return far
 }
