--- a/internal/driftcontrol/probe.go
+++ b/internal/driftcontrol/probe.go
@@ -287,10 +287,7 @@
 	near := c.domainVMs(c.self.Domain)
 	voters := c.voters(near)
 	all := len(c.members.names) <= smallFleet
-	if !now.Before(c.farDue) {
-		c.far, c.farDue = c.farTargets(), now.Add(time.Second)
-	}
-	far := c.far
+	far := c.farTargets(now)
 	for name, m := range c.members.rows {
 		_, votes := voters[name]
 		m.probe.interval, m.probe.votes = watchInterval, votes
@@ -326,15 +323,17 @@
 
 // farTargets returns a few random VMs to probe for a while, most of this
 // domain: news travel along them.
-func (c *Control) farTargets() []string {
-	if len(c.members.listed) == 0 {
-		return nil
+func (c *Control) farTargets(now time.Time) []string {
+	if len(c.members.listed) == 0 || now.Before(c.farDue) {
+		return c.far
 	}
+	c.farDue = now.Add(time.Second)
 	near := c.domainVMs(c.self.Domain)
 	far := []string{c.members.listed[c.random.IntN(len(c.members.listed))]}
 	for range maxFar - 1 {
 		far = append(far, near[c.random.IntN(len(near))])
 	}
+	c.far = far
 	return far
 }
 
