Judge the time of a shard request against its class, not its service

Change: typical times are kept for each class and an upstream's slowness as a multiple of them; only a quarter of the typical time counts as too short. New test in TestSearch.

--- a/internal/driftfront/attempt.go
+++ b/internal/driftfront/attempt.go
@@ -94,17 +94,17 @@
 // learn notes what a result tells about the upstream, the VM and the class.
 func (f *Front) learn(load *loadRow, a *attempt, q driftshard.Request, result driftshard.Result, now time.Time) {
 	took := now.Sub(a.started)
-	typical := f.loads.typical(q.Service)
+	typical := f.loads.typical(q.Class)
 	switch r := result.(type) {
 	case driftshard.Done:
-		load.answered(r.Load, took, typical.get(), now)
+		load.answered(r.Load, typical.multiple(took), now)
 		typical.add(took)
 		f.latencies.row(q.Class).add(took, now)
 		f.learnVersion(a, r.Version, now)
 	case driftshard.NotRun:
 		f.learnRefusal(load, a, r, now)
 	case driftshard.Unknown:
-		load.ended(took, typical.get(), now)
+		load.ended(typical.multiple(took), now)
 		if !a.hedge {
 			f.latencies.row(q.Class).exceeded(took, now)
 		}
@@ -126,9 +126,9 @@
 	switch r.Reason {
 	case driftshard.ReasonVersion:
 		f.refusals.refused(a.upstream, a.version, now)
-		load.ended(0, 0, now)
+		load.ended(0, now)
 	case driftshard.ReasonOwner, driftshard.ReasonCanceled:
-		load.ended(0, 0, now)
+		load.ended(0, now)
 	case driftshard.ReasonUnreachable:
 		f.loads.avoidVM(a.vm, now)
 		load.refused(r.Load, r.Retry, now)
--- a/internal/driftfront/choice.go
+++ b/internal/driftfront/choice.go
@@ -44,7 +44,6 @@
 // service, were not yet tried and have not refused the pinned version.
 func (s *search) candidates(found []candidate, v *drifttable.View, t *task, now time.Time) []candidate {
 	f := s.front
-	typical := f.loads.typical(s.call.class.Service).get()
 	for _, u := range t.part.shard.Upstreams {
 		vm, owned := v.Owner(u)
 		if !owned || v.UpstreamOut(u) || slices.Contains(t.tried, u) || s.refuses(u, now) {
@@ -52,7 +51,7 @@
 		}
 		c := candidate{upstream: u, vm: vm, distance: distance(v, u, vm)}
 		if _, random := f.settings.choice.(Random); !random {
-			c.standing = f.loads.row(u).standing(typical, now)
+			c.standing = f.loads.row(u).standing(now)
 			c.standing.avoided = c.standing.avoided || f.loads.avoidsVM(vm, now)
 		}
 		found = append(found, c)
--- a/internal/driftfront/load.go
+++ b/internal/driftfront/load.go
@@ -50,19 +50,19 @@
 	}
 }
 
-// typical returns the typical time of a shard request of a service.
-func (t *loadTable) typical(service string) *smoothed {
+// typical returns the typical time of a shard request of a class.
+func (t *loadTable) typical(class string) *smoothed {
 	t.mu.RLock()
-	s, found := t.typicals[service]
+	s, found := t.typicals[class]
 	t.mu.RUnlock()
 	if found {
 		return s
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s, found = t.typicals[service]; !found {
+	if s, found = t.typicals[class]; !found {
 		s = &smoothed{}
-		t.typicals[service] = s
+		t.typicals[class] = s
 	}
 	return s
 }
@@ -116,15 +116,17 @@
 
 // loadRow is what is known of one upstream.
 type loadRow struct {
-	mu      sync.Mutex
-	load    driftshard.Load
-	loaded  time.Time
-	latency float64
-	timed   time.Time
-	flight  int
-	avoid   time.Time
-	losses  int
-	touched time.Time
+	mu     sync.Mutex
+	load   driftshard.Load
+	loaded time.Time
+	// slowness is the smoothed time of a request as a multiple of the typical
+	// one of its class, timed when it was last measured.
+	slowness float64
+	timed    time.Time
+	flight   int
+	avoid    time.Time
+	losses   int
+	touched  time.Time
 }
 
 // started counts an attempt in flight.
@@ -135,23 +137,22 @@
 	r.touched = now
 }
 
-// answered notes a reply after the given time.
-func (r *loadRow) answered(l driftshard.Load, took time.Duration, typical float64, now time.Time) {
+// answered notes a reply after the given multiple of the typical time.
+func (r *loadRow) answered(l driftshard.Load, slowness float64, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.flight--
 	switch {
-	case float64(took) <= slowFactor*typical:
+	case slowness <= slowFactor:
 		r.losses = 0
 	case l.Queue == 0:
 		r.losses++
 	}
 	r.load, r.loaded, r.avoid = l, now, time.Time{}
-	sample := float64(took)
 	if r.timed.IsZero() {
-		r.latency = sample
+		r.slowness = slowness
 	} else {
-		r.latency += latencyWeight * (sample - r.latency)
+		r.slowness += latencyWeight * (slowness - r.slowness)
 	}
 	r.timed = now
 }
@@ -167,17 +168,17 @@
 	r.avoid = now.Add(max(wait, avoidUpstream))
 }
 
-// ended notes an attempt that ended without a reply after the given time,
-// which its latency exceeds.
-func (r *loadRow) ended(took time.Duration, typical float64, now time.Time) {
+// ended notes an attempt that ended without a reply after the given multiple
+// of the typical time.
+func (r *loadRow) ended(slowness float64, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.flight--
-	if typical > 0 && float64(took) > slowFactor*typical && !r.queued(now) {
+	if slowness > slowFactor && !r.queued(now) {
 		r.losses++
 	}
-	if float64(took) > r.latency {
-		r.latency = float64(took)
+	if slowness > r.slowness {
+		r.slowness = slowness
 		r.timed = now
 	}
 }
@@ -200,15 +201,15 @@
 	probed bool
 }
 
-// standing returns the expected time of a new request at the upstream, in
-// nanoseconds.
-func (r *loadRow) standing(typical float64, now time.Time) standing {
+// standing returns the expected time of a new request at the upstream, as a
+// multiple of the typical one.
+func (r *loadRow) standing(now time.Time) standing {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	latency := typical
+	slowness := 1.0
 	if !r.timed.IsZero() {
 		age := now.Sub(r.timed).Seconds() / latencyHalf.Seconds()
-		latency += (r.latency - typical) * math.Exp2(-age)
+		slowness += (r.slowness - 1) * math.Exp2(-age)
 	}
 	straggler := r.losses >= straggles
 	s := standing{
@@ -225,7 +226,7 @@
 		s.cold = r.load.Cold && !s.avoided
 		s.avoided = s.avoided || r.load.Cold
 	}
-	s.score = latency * (1 + busy/limit)
+	s.score = slowness * (1 + busy/limit)
 	return s
 }
 
@@ -247,8 +248,13 @@
 	s.value += typicalWeight * (float64(d) - s.value)
 }
 
-func (s *smoothed) get() float64 {
+// multiple returns the duration as a multiple of the smoothed one, 1 while
+// that is not known.
+func (s *smoothed) multiple(d time.Duration) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.value
+	if s.value == 0 {
+		return 1
+	}
+	return float64(d) / s.value
 }
--- a/internal/driftfront/search_test.go
+++ b/internal/driftfront/search_test.go
@@ -53,6 +53,21 @@
 			assert.InDelta(s.t, 0.75, a.Coverage(), 0.001)
 		})
 	})
+	t.Run("slow reports do not make an urgent query seem hopeless", func(t *testing.T) {
+		scripted(t, func(s *script) {
+			sound := s.reply
+			s.reply = func(ctx context.Context, vm string, r driftshard.Request) driftshard.Result {
+				if r.Class == "night" {
+					return after(ctx, 4*time.Second, done(r))
+				}
+				return sound(ctx, vm, r)
+			}
+			for range 10 {
+				s.front.Query(s.t.Context(), driftapi.Query{Request: "n", Class: "night", Deadline: 20_000})
+			}
+			assert.True(s.t, assertAnswered(s.t, s.query("counter")).Complete)
+		})
+	})
 	t.Run("nothing searched is refused as unknown", func(t *testing.T) {
 		scripted(t, func(s *script) {
 			s.stall("s-1", "s-2", "s-3", "s-4")
--- a/internal/driftfront/task.go
+++ b/internal/driftfront/task.go
@@ -14,6 +14,9 @@
 	maxLive      = 3
 	maxAttempts  = 64
 	silentFactor = 4
+	// leastShare is the share of the typical time below which the time that
+	// is left is too short for an attempt.
+	leastShare   = 0.25
 	backoffFirst = 5 * time.Millisecond
 	// backoffDoublings is how often the pause between attempts doubles.
 	backoffDoublings = 6
@@ -104,7 +107,7 @@
 func (s *search) try(ctx context.Context, i int, now time.Time) bool {
 	t := &s.tasks[i]
 	v := s.front.views.Load()
-	if t.attempts >= maxAttempts || float64(s.call.deadline.Sub(now)) < s.front.loads.typical(s.call.class.Service).get()/2 {
+	if t.attempts >= maxAttempts || s.front.loads.typical(s.call.class.Name).multiple(s.call.deadline.Sub(now)) < leastShare {
 		t.due = s.call.deadline
 		return false
 	}
