--- /dev/null
+++ b/cmd/almonddrift/capacity.go
@@ -0,0 +1,15 @@
+package main
+
+import (
+	"os"
+
+	"github.com/almonddrift/almonddrift/internal/driftcapacity"
+)
+
+// capacityCommand prints what each role costs at the expected full size.
+type capacityCommand struct{}
+
+// Run implements the command.
+func (*capacityCommand) Run() error {
+	return driftcapacity.Print(os.Stdout)
+}
--- a/cmd/almonddrift/main.go
+++ b/cmd/almonddrift/main.go
@@ -30,6 +30,7 @@
 	Status   statusCommand   `cmd:"" help:"Show what each VM sees, and which VMs differ."`
 	Timeline timelineCommand `cmd:"" help:"Show the events of all VMs in order."`
 	Demo     demoCommand     `cmd:"" help:"Run a whole small fleet in one process."`
+	Capacity capacityCommand `cmd:"" hidden:"" help:"Print what each role costs at full size."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/internal/driftcapacity/table.go
@@ -0,0 +1,147 @@
+package driftcapacity
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/juju/errors"
+)
+
+// The size that the users expect within two years.
+const (
+	vms       = 8800
+	upstreams = 91000
+	domains   = 19
+	queries   = 2.6e6 // a second
+	shards    = 92    // a query
+	services  = (upstreams + serviceLimit - 1) / serviceLimit
+
+	// serviceLimit is how many upstreams the value of one service may name.
+	serviceLimit = 4000
+
+	vmsOfDomain   = float64(vms) / domains
+	upstreamsOfVM = float64(upstreams) / vms
+	queriesOfVM   = queries / vms
+	shardsOfVM    = queriesOfVM * shards
+	changesOfDay  = 12000
+	changesSecond = changesOfDay / 86400.0
+)
+
+// Limits of control a node, and of the configuration service.
+const (
+	processorLimit = 20   // ms a second: 2% of a core
+	memoryLimit    = 128  // MB
+	bytesLimit     = 3000 // bytes a second
+	readsLimit     = 2000 // reads a second
+	valueLimit     = 1 << 20
+)
+
+// Row is one line of the capacity table. Limit is 0 where the users state
+// none.
+type Row struct {
+	Role, Quantity, Slope string
+	// Size is the size at which the slope is taken, Factor what its value is
+	// multiplied by.
+	Size, Factor, Limit float64
+	Unit, Carrier       string
+}
+
+// Rows returns the lines of the table.
+func Rows() []Row {
+	return append(controlRows(), trafficRows()...)
+}
+
+func controlRows() []Row {
+	const members = "few probes a VM inside its domain"
+	const view = "tables rebuilt only where a document changed"
+	return []Row{
+		{"control", "processor, probes and ticks", "fleet.processor", vmsOfDomain, 1, processorLimit, "ms/s", members},
+		{"control", "processor, whole view without changes", "view.processor", upstreams, 1, processorLimit, "ms/s", view},
+		{"control", "processor, changes of configuration", "view.change", upstreams, changesSecond, processorLimit, "ms/s", view},
+		{"control", "memory, members of the domain", "fleet.memory", vmsOfDomain, 1, memoryLimit, "MB", members},
+		{"control", "memory, whole view", "view.memory", upstreams, 1, memoryLimit, "MB", view},
+		{"control", "messages sent", "fleet.messages", vmsOfDomain, 1, 0, "messages/s", members},
+		{"control", "bytes sent", "fleet.bytes", vmsOfDomain, 1, bytesLimit, "bytes/s", members},
+		{"control", "bytes read, VM list once a second", "document.list", vms, 1, bytesLimit, "bytes/s", "each VM reads the whole list"},
+		{"configuration reader", "reads, one service", "fleet.reads", vmsOfDomain, domains / 2.0, readsLimit, "reads/s", "two readers a key and domain"},
+		{"configuration reader", "reads, all services (keys grow, upper bound)", "fleet.reads", vmsOfDomain, domains / 2.0 * (3 + 2*services) / 5, readsLimit, "reads/s", "two readers a key and domain"},
+		{"configuration reader", "largest value, upstreams of a service", "document.upstreams", serviceLimit, 1, valueLimit, "bytes", "one key a service"},
+	}
+}
+
+func trafficRows() []Row {
+	const local = "one goroutine a shard request"
+	return []Row{
+		{"front and owner", "processor without sockets", "query.processor", shards, queriesOfVM / 1e6, 0, "cores", local},
+		{"front and owner", "processor with sockets, both VMs and the stand-in", "shard.processor", 10, shards / 10.0 * queriesOfVM / 1e6, 0, "cores", "shard requests over shared connections"},
+		{"owner", "memory of lanes", "owner.memory", upstreamsOfVM, 1.0 / 1024, 0, "MB", "one lane an owned upstream"},
+		{"front", "shard requests", "", 0, shardsOfVM, 0, "requests/s", "scatter to owners"},
+		{"steer", "processor a list", "steer.processor", vms, 1e-3, 0, "ms", "every VM ranked for every caller"},
+		{"steer", "bytes a list", "steer.bytes", vms, 1.0 / 1024, 0, "KB", "the list names every VM"},
+		{"caller library", "state, and bytes in 10 s", "steer.bytes", vms, 1.0 / 1024, 0, "KB", "the list names every VM"},
+		{"every role", "memory of the time line", "events.memory", 4096, 1, 0, "MB", "a ring of 4,096 events"},
+	}
+}
+
+// Value returns the row's value at its size.
+func (r Row) Value(slopes Slopes) (value float64, slope Slope, err error) {
+	if r.Slope == "" {
+		return r.Factor, Slope{}, nil
+	}
+	slope, found := slopes.Get(r.Slope)
+	if !found {
+		return 0, Slope{}, errors.NotFoundf("slope %q", r.Slope)
+	}
+	return slope.At(r.Size) * r.Factor, slope, nil
+}
+
+// Print writes the table as Markdown.
+func Print(w io.Writer) (err error) {
+	defer errors.DeferredAnnotatef(&err, "capacity table")
+	slopes, err := Measured()
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(w, "Full size a VM: %.1f VMs a domain, %.2f owned upstreams, %.0f queries/s, %.0f shard requests/s.\n\n"+
+		"| role | quantity | at full size | limit | | slope, sizes measured, spread | carried by |\n|---|---|---|---|---|---|---|\n",
+		vmsOfDomain, upstreamsOfVM, queriesOfVM, shardsOfVM); err != nil {
+		return err
+	}
+	for _, r := range Rows() {
+		if _, err := fmt.Fprintln(w, r.line(slopes)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r Row) line(slopes Slopes) string {
+	value, slope, err := r.Value(slopes)
+	if err != nil {
+		return fmt.Sprintf("| %s | %s | not measured | | | %s | %s |", r.Role, r.Quantity, r.Slope, r.Carrier)
+	}
+	limit, verdict := "", ""
+	if r.Limit > 0 {
+		limit, verdict = fmt.Sprintf("%.6g %s", r.Limit, r.Unit), "holds"
+		if value > r.Limit {
+			verdict = "**misses**"
+		}
+	}
+	return fmt.Sprintf("| %s | %s | %.3g %s | %s | %s | %s | %s |",
+		r.Role, r.Quantity, value, r.Unit, limit, verdict, slope.describe(), r.Carrier)
+}
+
+func (s Slope) describe() string {
+	if s.Name == "" {
+		return "by division"
+	}
+	base, rise := s.Line()
+	sizes := ""
+	for i, p := range s.Points {
+		if i > 0 {
+			sizes += ", "
+		}
+		sizes += fmt.Sprintf("%g", p.Size)
+	}
+	return fmt.Sprintf("%s: %.3g + %.3g × %s, at %s, ±%.0f%%", s.Name, base, rise, s.Per, sizes, 100*s.Spread())
+}
