--- a/internal/driftfront/front.go
+++ b/internal/driftfront/front.go
@@ -156,6 +156,12 @@
 	deadline time.Time
 }
 
+// target is the time in which the caller has use for the answer: the class's
+// latency target, or the time to the deadline if that is shorter.
+func (c call) target() time.Duration {
+	return min(c.class.Fast, c.deadline.Sub(c.started))
+}
+
 func (f *Front) query(ctx context.Context, c call) Outcome {
 	v := f.views.Load()
 	class, reason := f.open(v, c)
--- a/internal/driftfront/search.go
+++ b/internal/driftfront/search.go
@@ -38,7 +38,7 @@
 func newSearch(f *Front, c call) *search {
 	return &search{
 		front: f, call: c, since: f.refusals.since(c.class.Service, c.started),
-		delay:   f.latencies.row(c.class.Name).delay(c.class.Fast, c.started),
+		delay:   f.latencies.row(c.class.Name).delay(c.target(), c.started),
 		explain: newExplanation(c),
 	}
 }
--- /dev/null
+++ b/internal/driftfront/target_test.go
@@ -0,0 +1,23 @@
+package driftfront
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/almonddrift/almonddrift/internal/drifttable"
+)
+
+func TestTarget(t *testing.T) {
+	started := time.Unix(0, 0)
+	c := call{class: drifttable.Class{Fast: 2 * time.Second}, started: started}
+	t.Run("a caller with a short deadline gets its hedge before it", func(t *testing.T) {
+		c.deadline = started.Add(500 * time.Millisecond)
+		assert.Equal(t, 500*time.Millisecond, c.target())
+	})
+	t.Run("a caller with a long deadline gets the class's target", func(t *testing.T) {
+		c.deadline = started.Add(time.Minute)
+		assert.Equal(t, 2*time.Second, c.target())
+	})
+}
