--- a/internal/driftfront/search.go
+++ b/internal/driftfront/search.go
@@ -202,20 +202,26 @@
 	return !now.Before(s.call.started.Add(s.call.class.Fast))
 }
 
-// stranded reports whether this VM can reach no shard at all, so that the
-// caller does better to ask another VM at once.
+// stranded reports whether nothing has run and no shard can be had: this VM
+// reaches none, or all refuse under load and the budget of retries is spent.
+// The caller then does better to know it at once.
 func (s *search) stranded() bool {
 	if s.live > 0 || s.ran || s.best != nil {
 		return false
 	}
 	for i := range s.tasks {
-		if t := &s.tasks[i]; t.state == open && (t.rounds == 0 || !secluded(t.reason)) {
+		if t := &s.tasks[i]; t.state == open && !t.stranded() {
 			return false
 		}
 	}
 	return true
 }
 
+// stranded reports whether trying again at the shard makes no sense now.
+func (t *task) stranded() bool {
+	return t.rounds > 0 && secluded(t.reason) || t.denials > 0 && t.last == heavy
+}
+
 // secluded reports whether a reason says that this VM, not the shard, is
 // cut off.
 func secluded(r driftshard.Reason) bool {
