--- a/internal/driftdemo/audit.go
+++ b/internal/driftdemo/audit.go
@@ -1,7 +1,9 @@
 package driftdemo
 
 import (
+	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -134,10 +136,13 @@
 const cutShare = 0.9
 
 // cutOff reports whether the connection to a VM ended before the answer. No
-// VM in a demo stops other than gracefully.
+// VM in a demo stops other than gracefully. A caller that gave up by itself
+// was not cut off.
 func cutOff(q driftapi.Query, r driftapi.Refusal, took time.Duration) bool {
 	deadline := time.Duration(q.Deadline) * time.Millisecond
-	return r.Reason == "silent" && r.Detail != "" && took < time.Duration(cutShare*float64(deadline))
+	early := r.Reason == "silent" && r.Detail != "" && took < time.Duration(cutShare*float64(deadline))
+	return early && !strings.HasSuffix(r.Detail, context.Canceled.Error()) &&
+		!strings.HasSuffix(r.Detail, context.DeadlineExceeded.Error())
 }
 
 // checkCoverage asserts that searched and missing depots make up those that
--- a/internal/driftdemo/demo_test.go
+++ b/internal/driftdemo/demo_test.go
@@ -101,6 +101,12 @@
 		a.refused(query, driftapi.Refusal{Ran: driftapi.RanUnknown, Reason: "silent", Detail: "EOF"}, time.Millisecond)
 		assertViolated(t, a, driftcheck.Graceful)
 	})
+	t.Run("a caller that gave up by itself", func(t *testing.T) {
+		a := newTestAudit(search)
+		detail := "Post: " + context.Canceled.Error()
+		a.refused(query, driftapi.Refusal{Ran: driftapi.RanUnknown, Reason: "silent", Detail: detail}, time.Millisecond)
+		assert.Zero(t, Violations(a.counts).Total(), a.findings)
+	})
 	t.Run("work in a failure domain that is out", func(t *testing.T) {
 		a := newTestAudit(search)
 		a.ledger.mark("d", time.Now().Add(-2*driftcheck.OutGrace))
