--- a/internal/drifttest/fault.go
+++ b/internal/drifttest/fault.go
@@ -48,7 +48,7 @@
 // the platform is down or stale nobody can know, so nothing is counted.
 func (f *Fleet) countMarks() {
 	now := time.Now()
-	if f.hidden {
+	if f.down || f.stale {
 		now = time.Time{}
 	}
 	for i := range f.Size.Shards {
@@ -100,7 +100,7 @@
 // PlatformDown makes the platform fail, or work again.
 func (f *Fleet) PlatformDown(down bool) {
 	f.Platform.SetDown(down)
-	f.hidden = down
+	f.down = down
 	f.countMarks()
 }
 
@@ -108,7 +108,7 @@
 // now, or with the newest again.
 func (f *Fleet) PlatformStale(stale bool) {
 	f.Platform.SetStale(stale)
-	f.hidden = stale
+	f.stale = stale
 	f.countMarks()
 }
 
--- a/internal/drifttest/fleet.go
+++ b/internal/drifttest/fleet.go
@@ -60,22 +60,22 @@
 	Network   *driftfake.Network
 	Nodes     map[string]*driftnode.Node
 
-	t       testing.TB
-	policy  Policy
-	askers  map[string]Asker
-	seed    uint64
-	collect bool
-	domains map[string]string
-	homes   map[string]string
-	cancels map[string]context.CancelFunc
-	live    map[string]context.Context
-	boot    uint64
-	marks   driftdocument.Marks
-	left    map[string]bool
-	gone    map[string]bool
-	hidden  bool
-	number  int
-	slow    slowness
+	t           testing.TB
+	policy      Policy
+	askers      map[string]Asker
+	seed        uint64
+	collect     bool
+	domains     map[string]string
+	homes       map[string]string
+	cancels     map[string]context.CancelFunc
+	live        map[string]context.Context
+	boot        uint64
+	marks       driftdocument.Marks
+	left        map[string]bool
+	gone        map[string]bool
+	down, stale bool
+	number      int
+	slow        slowness
 
 	mu     sync.Mutex
 	faults []string
