Run the fault scripts of the lane on a given seed

Cause: the state machine drew new scripts on every run, so that its verdict could differ between runs. Change: -faultseed, 1 unless given; no fail files. Conclusion: same scripts on every run.

--- a/internal/driftowner/machine_test.go
+++ b/internal/driftowner/machine_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/almonddrift/almonddrift/internal/driftfake"
@@ -34,9 +37,15 @@
 	}), 1, 12).Draw(t, "script")
 }
 
+// faultSeed is the seed of the scripts, the same on every run unless given.
+var faultSeed = flag.Uint64("faultseed", 1, "seed of the scripts of TestAnyFault")
+
 // TestAnyFault runs scripts of faults under load from two VMs. No fault may
 // break a promise, and service must come back once the faults are over.
 func TestAnyFault(t *testing.T) {
+	require.NoError(t, flag.Set("rapid.seed", strconv.FormatUint(*faultSeed, 10)))
+	require.NoError(t, flag.Set("rapid.nofailfile", "true"))
+	t.Logf("seed %d", *faultSeed)
 	rapid.Check(t, func(rt *rapid.T) {
 		script := drawScript(rt)
 		var failure string
