Hedge before a short deadline of a slow class; leave failing upstreams alone

Cause: scenario promise-05-whole: a night query (target 2 s) with a deadline of 500 ms met a mute upstream; its hedge was due at 500 ms.

--- a/internal/driftfront/attempt.go
+++ b/internal/driftfront/attempt.go
@@ -105,6 +105,9 @@
 		f.learnRefusal(load, a, r, now)
 	case driftshard.Unknown:
 		load.ended(typical.multiple(took), now)
+		if r.Reason != driftshard.ReasonCanceled && r.Reason != driftshard.ReasonSilent {
+			load.failed()
+		}
 		if !a.hedge {
 			f.latencies.row(q.Class).exceeded(took, now)
 		}
--- a/internal/driftfront/load.go
+++ b/internal/driftfront/load.go
@@ -183,6 +183,14 @@
 	}
 }
 
+// failed notes a reply that could not be used. The upstream is left alone like
+// a straggler, so that its failures do not spend the budget of retries.
+func (r *loadRow) failed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.losses = max(r.losses, straggles)
+}
+
 // queued reports whether requests waited at the upstream a short while ago.
 // The caller holds the lock.
 func (r *loadRow) queued(now time.Time) bool {
--- a/internal/driftfront/search.go
+++ b/internal/driftfront/search.go
@@ -36,9 +36,10 @@
 }
 
 func newSearch(f *Front, c call) *search {
+	target := min(c.class.Fast, c.deadline.Sub(c.started))
 	return &search{
 		front: f, call: c, since: f.refusals.since(c.class.Service, c.started),
-		delay:   f.latencies.row(c.class.Name).delay(c.class.Fast, c.started),
+		delay:   f.latencies.row(c.class.Name).delay(target, c.started),
 		explain: newExplanation(c),
 	}
 }
