--- a/internal/driftcontrol/probe.go
+++ b/internal/driftcontrol/probe.go
@@ -21,7 +21,7 @@
 	// relayInterval is the time between two relayed probes of a silent VM.
 	relayInterval = 300 * time.Millisecond
 	// probeTimeout bounds a probe.
-	probeTimeout = 500 * time.Millisecond
+	probeTimeout = 300 * time.Millisecond
 	// maxRelays is how many VMs are asked to relay at a time.
 	maxRelays = 3
 	// pauseLimit is the gap between two steps of the control goroutine from
@@ -35,6 +35,9 @@
 	interval      time.Duration
 	pending       bool
 	introduced    bool
+	// votes is set for a VM that votes on this one, failed while the last
+	// probe had no answer.
+	votes, failed bool
 }
 
 type (
@@ -71,7 +74,7 @@
 		if !m.probe.pending && !now.Before(m.probe.due) {
 			c.launchProbe(ctx, m, now)
 		}
-		if now.Sub(m.lastSign()) > suspectAfter && !now.Before(m.probe.relayDue) {
+		if m.probe.failed && now.Sub(m.lastSign()) > suspectAfter && !now.Before(m.probe.relayDue) {
 			m.probe.relayDue = now.Add(relayInterval)
 			c.launchRelays(ctx, m)
 		}
@@ -130,8 +133,8 @@
 // probeRequest builds the probe of one VM.
 func (c *Control) probeRequest(m *member, now time.Time) *pb.ProbeRequest {
 	return &pb.ProbeRequest{
-		Self: c.selfMember(!m.probe.introduced), Roster: m.told.digest, Vote: true,
-		Held: c.documents.digest, Partings: c.partings.recent(now),
+		Self: c.selfMember(!m.probe.introduced), Roster: m.told.digest, Vote: m.probe.votes,
+		Held: c.documents.digest, Partings: c.partings.recent(now), Members: c.rumors(now),
 	}
 }
 
@@ -169,7 +172,7 @@
 // answerProbe replies to a probe by another VM.
 func (c *Control) answerProbe(m probeReceived, now time.Time) {
 	w := m.request
-	reply := &pb.ProbeReply{Self: c.selfMember(false), Held: c.documents.digest}
+	reply := &pb.ProbeReply{Self: c.selfMember(false), Held: c.documents.digest, Members: c.rumors(now)}
 	sender, current := c.learn(w.GetSelf(), now)
 	if sender == nil {
 		reply.Introduce = true
@@ -179,6 +182,7 @@
 	if current {
 		sender.hear(now)
 		c.partings.learn(w.GetPartings(), now)
+		c.learnRumors(w.GetMembers(), now)
 		c.answerHeld(w, reply, now)
 	}
 	if current && w.GetVote() {
@@ -207,6 +211,7 @@
 		return
 	}
 	m.probe.pending = false
+	m.probe.failed = e.reply == nil
 	if e.reply == nil {
 		return
 	}
@@ -222,6 +227,7 @@
 		}
 	}
 	c.partings.learn(e.reply.GetPartings(), now)
+	c.learnRumors(e.reply.GetMembers(), now)
 	c.noteHeld(ctx, m, e.reply, now)
 }
 
@@ -278,13 +284,13 @@
 		return
 	}
 	c.watchedNumber, c.watchDue = c.members.number, now.Add(time.Second)
-	voters := c.electorate(c.self.Name).weights
 	near := c.domainVMs(c.self.Domain)
+	voters := c.voters(near)
 	all := len(c.members.names) <= smallFleet
-	far := c.farTargets()
+	far := c.farTargets(now)
 	for name, m := range c.members.rows {
 		_, votes := voters[name]
-		m.probe.interval = watchInterval
+		m.probe.interval, m.probe.votes = watchInterval, votes
 		if votes {
 			m.probe.interval = voterInterval
 		}
@@ -300,16 +306,34 @@
 	}
 }
 
-// farTargets returns a few VMs of other domains to probe for a while.
-func (c *Control) farTargets() []string {
-	if len(c.members.listed) == 0 {
-		return nil
+// voters returns the VMs that vote on this one, or on a lost VM whose
+// upstreams this one would take.
+func (c *Control) voters(near []string) map[string]int {
+	voters := c.electorate(c.self.Name).weights
+	for subject := range c.owners.unsure {
+		if len(near) <= smallDomain {
+			break
+		}
+		for _, name := range ring(near, subject, ringVoters) {
+			voters[name] = 1
+		}
 	}
-	var far []string
-	for range maxFar {
-		name := c.members.listed[c.random.IntN(len(c.members.listed))]
-		far = append(far, name)
+	return voters
+}
+
+// farTargets returns a few random VMs to probe for a while, most of this
+// domain: news travel along them.
+func (c *Control) farTargets(now time.Time) []string {
+	if len(c.members.listed) == 0 || now.Before(c.farDue) {
+		return c.far
+	}
+	c.farDue = now.Add(time.Second)
+	near := c.domainVMs(c.self.Domain)
+	far := []string{c.members.listed[c.random.IntN(len(c.members.listed))]}
+	for range maxFar - 1 {
+		far = append(far, near[c.random.IntN(len(near))])
 	}
+	c.far = far
 	return far
 }
 
