Keep observed partings out of the choice of a home replica

Cause: the home replica of a request that is not idempotent was chosen from the view's Leaving flag, which also holds what one VM alone has seen; VMs could disagree on the home, and a copy of a request could run at two replicas. Found by reading; no run showed it. Change: Upstream.Parted tells the two apart, and homes follow the documents. A fresh peer's shard requests go over Twirp, so that no connection is left.

--- a/internal/driftfront/epoch.go
+++ b/internal/driftfront/epoch.go
@@ -79,13 +79,13 @@
 	return g
 }
 
-// outOf returns the upstreams of the service that may receive no new work.
+// outOf returns the upstreams of the service that are published as out.
 func outOf(v *drifttable.View, s drifttable.Service) map[string]bool {
 	out := make(map[string]bool)
 	for _, version := range s.Versions {
 		for shard := range version.Shards.All() {
 			for _, u := range shard.Upstreams {
-				if v.UpstreamOut(u) {
+				if v.PublishedOut(u) {
 					out[u] = true
 				}
 			}
--- a/internal/driftpeer/transport.go
+++ b/internal/driftpeer/transport.go
@@ -82,9 +82,10 @@
 	}
 }
 
-// Fresh implements Transport.
+// Fresh implements Transport. Its shard requests go over Twirp too, so that
+// no connection outlives a call.
 func (t *HTTPTransport) Fresh(address string) pb.Peer {
-	return newHTTPPeer(address, true)
+	return newHTTPPeer(address, true).Peer
 }
 
 // Renew implements Transport.
--- a/internal/drifttable/view.go
+++ b/internal/drifttable/view.go
@@ -87,6 +87,14 @@
 	return !found || u.Leaving || v.DomainOut(u.Domain)
 }
 
+// PublishedOut reports whether the documents say that the upstream may receive
+// no new work. Unlike UpstreamOut it leaves aside what VMs have seen for
+// themselves, so that all VMs with the same documents agree.
+func (v *View) PublishedOut(name string) bool {
+	u, found := v.Upstreams.Get(name)
+	return !found || u.Leaving && !u.Parted || v.DomainOut(u.Domain)
+}
+
 // VMOut reports whether the VM may receive no new work, because it or its
 // failure domain is marked out or because it leaves.
 func (v *View) VMOut(name string) bool {
