Give retry budgets a floor a second, so that quiet times do not starve a query

The log of attempts shows a shard of which two of three replicas had refused the version, and the third was never asked: the budget of redirects was spent, and without other queries nothing filled it before the deadline. Ruled out: a missing owner of the third replica (all were published and alive), a stale memory of refusals. Change: 50 redirects and 5 retries a second come on top of the share.

--- a/internal/driftfront/budget.go
+++ b/internal/driftfront/budget.go
@@ -1,6 +1,9 @@
 package driftfront
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // budgetBurst is the most extra attempts that a budget saves up.
 const budgetBurst = 20
@@ -9,19 +12,29 @@
 // upstream nothing, as a share of the first attempts.
 const redirectShare = 1
 
+// Extra attempts a second that a front may always make, so that a query in
+// quiet times does not wait for the first attempts of others to earn its own.
+const (
+	redirectFloor = 50
+	retryFloor    = 5
+)
+
 // budget is a token bucket that first attempts fill and extra attempts
-// empty, so that extra attempts stay a share of the first ones. It is safe
-// for concurrent use.
+// empty, so that extra attempts stay a share of the first ones. Floor tokens
+// a second come on top. It is safe for concurrent use.
 type budget struct {
 	share float64
+	floor float64
 
 	mu     sync.Mutex
 	tokens float64
+	filled time.Time
 }
 
-func newBudget(share float64) *budget {
-	b := &budget{share: share}
+func newBudget(share, floor float64) *budget {
+	b := &budget{share: share, filled: time.Now()}
 	if share > 0 {
+		b.floor = floor
 		b.tokens = budgetBurst
 	}
 	return b
@@ -39,9 +52,20 @@
 func (b *budget) take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.fill(time.Now())
 	if b.tokens < 1 {
 		return false
 	}
 	b.tokens--
 	return true
 }
+
+// fill adds the tokens that the floor has brought since the last time. The
+// caller holds the lock.
+func (b *budget) fill(now time.Time) {
+	brought := b.floor * now.Sub(b.filled).Seconds()
+	b.filled = now
+	if b.tokens < budgetBurst {
+		b.tokens = min(budgetBurst, b.tokens+brought)
+	}
+}
--- /dev/null
+++ b/internal/driftfront/budget_test.go
@@ -0,0 +1,46 @@
+package driftfront
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestBudget(t *testing.T) {
+	t.Run("a spent budget fills by its floor in quiet times", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			b := spentBudget(1, 50)
+			assert.False(t, b.take())
+			time.Sleep(20 * time.Millisecond)
+			assert.True(t, b.take())
+			assert.False(t, b.take())
+		})
+	})
+	t.Run("the floor saves up no more than the burst", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			b := spentBudget(1, 50)
+			time.Sleep(time.Hour)
+			for range budgetBurst {
+				assert.True(t, b.take())
+			}
+			assert.False(t, b.take())
+		})
+	})
+	t.Run("a budget without a share stays empty", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBudget(0, 50)
+			time.Sleep(time.Hour)
+			assert.False(t, b.take())
+		})
+	})
+}
+
+func spentBudget(share, floor float64) *budget {
+	b := newBudget(share, floor)
+	for b.take() {
+		continue
+	}
+	return b
+}
--- a/internal/driftfront/front.go
+++ b/internal/driftfront/front.go
@@ -74,8 +74,8 @@
 		settings: s, views: views, sender: sender, events: events, checker: checker,
 		loads: newLoadTable(), latencies: newLatencyTable(), refusals: newRefusalTable(),
 		admission: newAdmission(s), memory: newMemory(), epochs: newEpochTable(s.settle),
-		dice: newDice(s.seed), hedges: newBudget(s.hedgeShare), retries: newBudget(s.retryShare),
-		redirects: newBudget(redirectShare),
+		dice: newDice(s.seed), hedges: newBudget(s.hedgeShare, 0), retries: newBudget(s.retryShare, retryFloor),
+		redirects: newBudget(redirectShare, redirectFloor),
 	}
 }
 
