Hold the policy test to the cold situation again

Cause: the test of the aims had dropped the situation of an upstream that turns cold, so that zero cold violations was shown by the printed table only.

--- a/internal/driftbench/policy_test.go
+++ b/internal/driftbench/policy_test.go
@@ -74,7 +74,7 @@
 // TestPolicyAims measures the aims on Oshana's counter app with one seed.
 func TestPolicyAims(t *testing.T) {
 	byName := make(map[string]Figures)
-	for _, s := range Situations()[:3] {
+	for _, s := range Situations()[:4] {
 		byName[s.Name] = measured(t, driftfake.Oshana(), s, nil, 1, Short())
 	}
 	steady := byName["steady"]
@@ -87,6 +87,11 @@
 		assertRatio(t, byName["domain out and back"].P99, steady.P99, domainRatio)
 		assert.GreaterOrEqual(t, byName["domain out and back"].Mean, domainCoverage)
 	})
+	t.Run("upstream cold", func(t *testing.T) {
+		cold := byName["upstream cold"]
+		assert.Zero(t, cold.Cold)
+		assert.Zero(t, cold.Repeats)
+	})
 	t.Run("steady", func(t *testing.T) {
 		assert.LessOrEqual(t, steady.Extra, extraLimit)
 		assert.InDelta(t, 1, steady.Mean, 0)
