Start over when a warming upstream's idle connection was found closed

Cause: a restart closed the only idle connection of an upstream that was still warming with a limit of two; doubt suspected only warm upstreams, so two requests went to a cold one that bears one. Ruled out: replies of runs that began warm; a second owner. Change: doubt goes back to one request in flight in the warming phase too.

--- a/internal/driftowner/limit.go
+++ b/internal/driftowner/limit.go
@@ -101,10 +101,13 @@
 }
 
 // doubt suspects a warm upstream whose idle connection was found closed: it
-// may have restarted.
+// may have restarted. One that still warms up starts over.
 func (l *limiter) doubt(now time.Time) {
-	if l.phase == warmed {
+	switch {
+	case l.phase == warmed:
 		l.suspect(now)
+	case l.limit > coldFlight:
+		l.cool(now)
 	}
 }
 
