--- a/cmd/almonddrift/serve.go
+++ b/cmd/almonddrift/serve.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"os"
 	"time"
 
 	"github.com/almonddrift/almonddrift/internal/driftserve"
 	"github.com/almonddrift/almonddrift/internal/driftsettings"
+	"github.com/almonddrift/almonddrift/platform"
 )
 
 // stopTimeout bounds a graceful shutdown.
@@ -32,6 +34,9 @@
 
 // Run implements the command.
 func (s *serveCommand) Run(ctx context.Context) error {
+	if path := os.Getenv(platform.SettingsVariable); path != "" && s.Settings == "" {
+		return runOnPlatform(ctx, path)
+	}
 	settings, err := driftsettings.Load(s.Settings, driftsettings.Settings{
 		Name: s.Name, Domain: s.Domain, Callers: s.Callers, Peers: s.Peers,
 		Ops: s.Ops, Platform: s.Platform, Log: s.Log,
@@ -48,3 +53,17 @@
 	defer cancel()
 	return process.Stop(stopping)
 }
+
+// runOnPlatform runs one VM from the settings file of the users' platform.
+func runOnPlatform(ctx context.Context, path string) error {
+	settings, err := platform.Load(path)
+	if err != nil {
+		return err
+	}
+	process := platform.New(settings, path)
+	if err := process.Start(ctx); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return process.Stop(context.WithoutCancel(ctx))
+}
--- a/internal/driftevent/catalogue.go
+++ b/internal/driftevent/catalogue.go
@@ -20,6 +20,11 @@
 	ConfigUnavailable  Code = 123
 	ConfigRecovered    Code = 124
 	MarkChanged        Code = 130
+	SettingsReloaded   Code = 140
+	PlatformLost       Code = 141
+	PlatformBack       Code = 142
+	EntryIgnored       Code = 143
+	ChangesTaken       Code = 144
 	QueryStarted       Code = 200
 	QueryAnswered      Code = 201
 	QueryRefused       Code = 202
@@ -28,6 +33,8 @@
 	AttemptEnded       Code = 211
 	AttemptHedged      Code = 212
 	ReplyDropped       Code = 213
+	RequestServed      Code = 220
+	RequestFailed      Code = 221
 	UpstreamWarmed     Code = 300
 	UpstreamCooled     Code = 301
 	UpstreamLimit      Code = 302
@@ -79,6 +86,11 @@
 	{ConfigUnavailable, "config unavailable", severityWarning},
 	{ConfigRecovered, "config recovered", severityInfo},
 	{MarkChanged, "mark changed", severityInfo},
+	{SettingsReloaded, "settings reloaded", severityInfo},
+	{PlatformLost, "platform lost", severityWarning},
+	{PlatformBack, "platform back", severityInfo},
+	{EntryIgnored, "entry ignored", severityWarning},
+	{ChangesTaken, "changes taken", severityInfo},
 	{QueryStarted, "query started", severityTrace},
 	{QueryAnswered, "query answered", severityTrace},
 	{QueryRefused, "query refused", severityTrace},
@@ -87,6 +99,8 @@
 	{AttemptEnded, "attempt ended", severityTrace},
 	{AttemptHedged, "attempt hedged", severityTrace},
 	{ReplyDropped, "reply dropped", severityWarning},
+	{RequestServed, "request served", severityInfo},
+	{RequestFailed, "request failed", severityWarning},
 	{UpstreamWarmed, "upstream warmed", severityInfo},
 	{UpstreamCooled, "upstream cooled", severityWarning},
 	{UpstreamLimit, "upstream limit", severityTrace},
--- /dev/null
+++ b/internal/driftexchange/conn.go
@@ -0,0 +1,256 @@
+package driftexchange
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Sizes of a connection.
+const (
+	// readBuffer holds the usual reply of a shard; more is read in steps.
+	readBuffer = 2048
+	// maxReply bounds the body of a reply, in bytes.
+	maxReply = 4 << 20
+	// maxSkipped is how many replies to other requests are skipped.
+	maxSkipped = 4
+	// largeBody is the size from which a body is written beside the wait for
+	// the reply, since an upstream may answer before it has read it.
+	largeBody = 16 << 10
+	// defaultIdle is how long an idle connection is kept if the upstream
+	// does not say.
+	defaultIdle = 10 * time.Second
+	// idleMargin is subtracted from what the upstream says, in case its
+	// timer fires early.
+	idleMargin = 500 * time.Millisecond
+)
+
+// Conn is one connection to an upstream. Send may be called again after the
+// result of the last Send has been delivered and Usable reports true.
+type Conn struct {
+	net     net.Conn
+	reader  *bufio.Reader
+	headers Headers
+	closed  chan struct{}
+
+	mu      sync.Mutex
+	pending *pending
+	broken  bool
+	idleTo  time.Time
+	used    time.Time
+}
+
+type pending struct {
+	request *http.Request
+	id      string
+	deliver func(Result)
+	written bool
+}
+
+// Dial opens a connection.
+func Dial(ctx context.Context, address string, h Headers) (c *Conn, err error) {
+	defer errors.DeferredAnnotatef(&err, "upstream at %s", address)
+	dialer := net.Dialer{KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	c = &Conn{
+		net: conn, reader: bufio.NewReaderSize(conn, readBuffer), headers: h,
+		closed: make(chan struct{}), idleTo: time.Now().Add(defaultIdle), used: time.Now(),
+	}
+	go c.read()
+	return c, nil
+}
+
+// Usable reports whether the connection can take a request now.
+func (c *Conn) Usable(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.broken && c.pending == nil && now.Before(c.idleTo)
+}
+
+// Idle returns how long the connection has carried nothing.
+func (c *Conn) Idle(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.used)
+}
+
+// Closed is closed when the connection has ended.
+func (c *Conn) Closed() <-chan struct{} { return c.closed }
+
+// Close ends the connection. A request that is under way gets its result.
+func (c *Conn) Close() {
+	c.mu.Lock()
+	c.broken = true
+	c.mu.Unlock()
+	_ = c.net.Close()
+}
+
+// Send writes the request and delivers its result once, from another
+// goroutine or before it returns. The upstream gets what is left until the
+// deadline.
+func (c *Conn) Send(r *Request, expect string, deadline time.Time, deliver func(Result)) {
+	now := time.Now()
+	head, err := r.encode(c.headers, expect, deadline.Sub(now))
+	if err != nil {
+		deliver(NotRun{Err: err})
+		return
+	}
+	p := &pending{
+		request: &http.Request{Method: r.Method}, id: r.ID, deliver: deliver,
+		written: len(r.Body) <= largeBody,
+	}
+	c.mu.Lock()
+	if c.broken || c.pending != nil {
+		c.mu.Unlock()
+		deliver(NotRun{Err: ErrClosed})
+		return
+	}
+	c.pending = p
+	c.mu.Unlock()
+	_ = c.net.SetDeadline(deadline)
+	if len(r.Body) > largeBody {
+		go c.writeLarge(p, head, r.Body)
+		return
+	}
+	if _, err := c.net.Write(append(head, r.Body...)); err != nil {
+		c.Close()
+	}
+}
+
+// writeLarge writes beside the wait for the reply. If the reply is there
+// before the body is written, the connection is not used again.
+func (c *Conn) writeLarge(p *pending, head, body []byte) {
+	_, err := c.net.Write(head)
+	if err == nil {
+		_, err = c.net.Write(body)
+	}
+	c.mu.Lock()
+	p.written = true
+	early := c.pending != p
+	c.mu.Unlock()
+	if err != nil || early {
+		c.Close()
+	}
+}
+
+// Expire ends the exchange under way at the given time if it has not ended
+// by then.
+func (c *Conn) Expire(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending != nil {
+		_ = c.net.SetReadDeadline(at)
+	}
+}
+
+// take ends the pending exchange and returns it.
+func (c *Conn) take() *pending {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pending
+	c.pending = nil
+	c.used = time.Now()
+	return p
+}
+
+// read reads replies until the connection ends.
+func (c *Conn) read() {
+	err := c.replies()
+	c.Close()
+	close(c.closed)
+	if p := c.take(); p != nil {
+		p.deliver(Unknown{Err: err})
+	}
+}
+
+// replies delivers one reply after the other. Bytes that arrive while nothing
+// is pending end the connection.
+func (c *Conn) replies() error {
+	skipped := 0
+	for {
+		if _, err := c.reader.Peek(1); err != nil {
+			return err
+		}
+		c.mu.Lock()
+		p := c.pending
+		c.mu.Unlock()
+		if p == nil {
+			return ErrClosed
+		}
+		reply, keep, err := c.reply(p)
+		if err != nil {
+			return err
+		}
+		if reply.Status < http.StatusOK {
+			continue
+		}
+		if id := reply.Header.Get(c.headers.Request); id != "" && id != p.id {
+			if skipped++; skipped > maxSkipped || !keep {
+				return errors.Annotatef(ErrClosed, "reply to request %q", id)
+			}
+			continue
+		}
+		if !c.finish(p, reply, keep && skipped == 0) {
+			return ErrClosed
+		}
+	}
+}
+
+// reply reads one reply. Keep reports whether the connection can be used
+// after it.
+func (c *Conn) reply(p *pending) (reply Reply, keep bool, err error) {
+	response, err := http.ReadResponse(c.reader, p.request)
+	if err != nil {
+		return reply, false, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReply+1))
+	if err != nil {
+		return reply, false, err
+	}
+	if len(body) > maxReply {
+		return reply, false, ErrTooLong
+	}
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	reply = Reply{Status: response.StatusCode, Header: response.Header, Body: body}
+	c.noteIdle(response.Header.Get("Keep-Alive"))
+	return reply, framed && !response.Close, nil
+}
+
+// finish delivers the reply and reports whether the connection goes on.
+func (c *Conn) finish(p *pending, reply Reply, keep bool) bool {
+	_ = c.net.SetDeadline(time.Time{})
+	c.mu.Lock()
+	keep = keep && p.written && c.reader.Buffered() == 0 && !c.broken
+	c.broken = c.broken || !keep
+	c.mu.Unlock()
+	if taken := c.take(); taken != nil {
+		taken.deliver(judge(reply, c.headers))
+	}
+	return keep
+}
+
+// noteIdle reads the idle timeout that the upstream announces.
+func (c *Conn) noteIdle(header string) {
+	idle := defaultIdle
+	for _, field := range strings.Split(header, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if s, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			idle = time.Duration(s)*time.Second - idleMargin
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleTo = time.Now().Add(idle)
+}
--- /dev/null
+++ b/internal/driftgossip/call.go
@@ -0,0 +1,78 @@
+package driftgossip
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/almonddrift/almonddrift/internal/driftgossip/driftgossippb"
+	"github.com/almonddrift/almonddrift/internal/driftstate"
+)
+
+// changesTimeout bounds a call for changes between VMs.
+const changesTimeout = 700 * time.Millisecond
+
+// TwirpCaller asks other VMs by Twirp.
+type TwirpCaller struct {
+	client *http.Client
+	port   int
+}
+
+// NewTwirpCaller returns a caller that reaches every VM at the given port.
+func NewTwirpCaller(port int) *TwirpCaller {
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: changesTimeout}).DialContext}
+	return &TwirpCaller{client: &http.Client{Transport: transport, Timeout: changesTimeout}, port: port}
+}
+
+// Changes implements Caller. The address is the one that the VM gossips from.
+func (t *TwirpCaller) Changes(ctx context.Context, address string, after int64) (c driftstate.Changes, err error) {
+	defer errors.DeferredAnnotatef(&err, "VM at %s", address)
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return c, err
+	}
+	base := "http://" + net.JoinHostPort(host, strconv.Itoa(t.port))
+	client := driftgossippb.NewGossipProtobufClient(base, t.client)
+	asked := time.Now()
+	reply, err := client.Changes(ctx, &driftgossippb.ChangesRequest{After: after})
+	if err != nil {
+		return c, err
+	}
+	c = driftstate.Changes{Full: reply.GetFull(), Revision: reply.GetRevision()}
+	if reply.GetAge() < unconfirmed {
+		c.Confirmed = asked.Add(-time.Duration(reply.GetAge()) * time.Millisecond)
+	}
+	for _, i := range reply.GetItems() {
+		c.Items = append(c.Items, driftstate.Item{
+			Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision(), Removed: i.GetRemoved(),
+		})
+	}
+	return c, nil
+}
+
+// Server answers the calls of other VMs.
+type Server struct{ replica *driftstate.Replica }
+
+// NewHandler returns the HTTP handler of the calls between VMs.
+func NewHandler(replica *driftstate.Replica) http.Handler {
+	return driftgossippb.NewGossipServer(&Server{replica: replica})
+}
+
+// Changes implements driftgossippb.Gossip.
+func (s *Server) Changes(_ context.Context, request *driftgossippb.ChangesRequest) (*driftgossippb.ChangesReply, error) {
+	c := s.replica.After(request.GetAfter())
+	reply := &driftgossippb.ChangesReply{Full: c.Full, Revision: c.Revision, Age: unconfirmed}
+	if !c.Confirmed.IsZero() {
+		reply.Age = uint32(min(time.Since(c.Confirmed).Milliseconds(), unconfirmed))
+	}
+	for _, i := range c.Items {
+		reply.Items = append(reply.Items, &driftgossippb.Item{
+			Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed,
+		})
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/driftrelay/place.go
@@ -0,0 +1,98 @@
+package driftrelay
+
+import "time"
+
+// Facts are what is known of an upstream when a request is placed.
+type Facts struct {
+	// Typical is how long a request of the class usually takes here.
+	Typical time.Duration
+	// Speed is how much longer than that this upstream takes.
+	Speed float64
+	Slots int
+	// Ahead is the number of requests that the upstream has, as far as known.
+	Ahead int
+	// Stalled is how much longer than expected the oldest request in flight
+	// has been waiting.
+	Stalled time.Duration
+	// Suspected is how long another VM's suspicion still holds.
+	Suspected time.Duration
+	// Failing is the share of recent requests that failed.
+	Failing float64
+	// Aim is the latency objective of the class.
+	Aim time.Duration
+	// Open is set if a connection has to be opened first.
+	Open bool
+	// Far is set if the upstream is in another failure domain.
+	Far bool
+	// Leaving is set if the upstream is about to go.
+	Leaving bool
+}
+
+// Costs of a placement, expressed as time.
+const (
+	// farCost is what bytes between failure domains and the longer way are
+	// worth, in latency.
+	farCost = 4 * time.Millisecond
+	// openCost is the usual time to open a connection.
+	openCost = 6 * time.Millisecond
+	// leavingCost puts upstreams that leave behind all others.
+	leavingCost = 10 * time.Second
+)
+
+// Estimate returns the expected time until the upstream answers, with what
+// else speaks against it counted as time. It answers the load pattern in
+// which every upstream stands still for a moment now and then, each at its
+// own time, and some are slow for seconds: a request that is stalled is
+// expected to stay so for as long again.
+func Estimate(f Facts) time.Duration {
+	work := time.Duration(float64(f.Typical) * f.Speed)
+	cost := work
+	if waiting := f.Ahead + 1 - max(1, f.Slots); waiting > 0 {
+		cost += work * time.Duration(waiting) / time.Duration(max(1, f.Slots))
+	}
+	cost += max(f.Stalled, f.Suspected)
+	cost += time.Duration(f.Failing * float64(f.Aim))
+	if f.Open {
+		cost += openCost
+	}
+	if f.Far {
+		cost += farCost
+	}
+	if f.Leaving {
+		cost += leavingCost
+	}
+	return cost
+}
+
+// HedgeDelay returns how long a first attempt is waited for before a second
+// one is sent. A quarter of the objective leaves time for the second attempt
+// and its way; a class that is much faster than its objective is hedged
+// earlier, and none before its requests usually end.
+func HedgeDelay(aim, typical time.Duration) time.Duration {
+	delay := min(max(5*typical/2, aim/8), aim/4)
+	return max(delay, 3*typical/2)
+}
+
+// SuspectDelay returns the age at which a request shows that its upstream
+// stands still, rather than that the request is a long one.
+func SuspectDelay(typical time.Duration) time.Duration {
+	return 2 * typical
+}
+
+// AnswerAt returns how long after its arrival a query is answered with the
+// parts that are in, if they are enough: shortly before the objective, so
+// that the answer reaches the caller within it.
+func AnswerAt(aim time.Duration) time.Duration {
+	return aim - min(max(aim/8, minAnswerMargin), maxAnswerMargin)
+}
+
+// Bounds of the time that an answer needs to be merged, written and carried.
+const (
+	minAnswerMargin = 7 * time.Millisecond
+	maxAnswerMargin = 15 * time.Millisecond
+)
+
+// Enough reports whether the parts that are in make a success.
+func Enough(in, shards int, least float64) bool {
+	return in > 0 && float64(in) >= least*float64(shards)-1e-9
+}
--- /dev/null
+++ b/internal/driftrelay/relay.go
@@ -0,0 +1,209 @@
+// Package driftrelay serves opaque requests: it finds the route, chooses
+// upstreams, sends, retries and hedges, and answers with the reply of one
+// upstream or with the merged parts of many.
+//
+// The decisions are plain functions over values, apart from input and output:
+// Estimate places a request, HedgeDelay and AnswerAt time it, Budget bounds
+// the extra sends. Relay holds the table of upstreams that they are made from.
+// Every VM talks to upstreams itself, within its share of what each upstream
+// accepts (docs/decisions/platform.md).
+//
+// # Usage
+//
+//	relay := driftrelay.New(self, headers, driftrelay.WithBudget(rule))
+//	relay.Update(view)
+//	answer := relay.Serve(ctx, request, arrived, deadline)
+package driftrelay
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftcheck"
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftexchange"
+	"github.com/almonddrift/almonddrift/internal/driftroute"
+)
+
+// Relay serves requests at one VM. It is safe for concurrent use.
+type Relay struct {
+	self    VM
+	headers driftexchange.Headers
+	rule    BudgetRule
+	checker *driftcheck.Checker
+	events  driftevent.Recorder
+	tell    func(upstream string, span time.Duration)
+	fresh   func() bool
+	spread  *driftroute.Spread
+
+	mu        sync.Mutex
+	table     *driftroute.Table
+	upstreams map[string]*entity
+	services  map[string][]*entity
+	out       map[string]time.Time
+	others    []VM
+	budgets   map[string]*Budget
+	usual     map[string]time.Duration
+	running   int
+}
+
+// Option changes a Relay that New makes.
+type Option func(*Relay)
+
+// WithBudget sets the rule that bounds extra sends.
+func WithBudget(rule BudgetRule) Option {
+	return func(r *Relay) { r.rule = rule }
+}
+
+// WithChecks sets the recorder of events and the checker of the promises.
+func WithChecks(events driftevent.Recorder, checker *driftcheck.Checker) Option {
+	return func(r *Relay) { r.events, r.checker = events, checker }
+}
+
+// WithTell calls the function when an upstream does not answer, to tell other
+// VMs.
+func WithTell(tell func(upstream string, span time.Duration)) Option {
+	return func(r *Relay) { r.tell = tell }
+}
+
+// WithFresh sets the function that reports whether the view is recent enough
+// to say that a route does not exist.
+func WithFresh(fresh func() bool) Option {
+	return func(r *Relay) { r.fresh = fresh }
+}
+
+// DefaultBudget is the rule on the published sites.
+func DefaultBudget() BudgetRule {
+	return BudgetRule{Ratio: 0.2, Extra: 56, Window: 10 * time.Second}
+}
+
+// New returns a relay that knows no route.
+func New(self VM, headers driftexchange.Headers, opts ...Option) *Relay {
+	events := driftevent.NewLog(self.Name, 0)
+	r := &Relay{
+		self: self, headers: headers, rule: DefaultBudget(), events: events,
+		checker: driftcheck.NewChecker(events), spread: driftroute.NewSpread(),
+		tell: func(string, time.Duration) {}, fresh: func() bool { return true },
+		upstreams: make(map[string]*entity), services: make(map[string][]*entity),
+		out: make(map[string]time.Time), budgets: make(map[string]*Budget),
+		usual: make(map[string]time.Duration),
+	}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
+}
+
+// Answer is what the caller gets.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Cause says why, in one word.
+	Cause Cause
+	// Retry is when the caller may come back, 0 if not said.
+	Retry time.Duration
+}
+
+// Cause says why an answer is what it is.
+type Cause string
+
+// The causes of answers.
+const (
+	CauseServed   Cause = "served"   // the upstream's answer, or all parts
+	CausePartial  Cause = "partial"  // enough parts, but not all
+	CauseNoConfig Cause = "noconfig" // no configuration is known yet
+	CauseNoRoute  Cause = "noroute"  // no route matches
+	CauseStale    Cause = "stale"    // no route matches, but the view is old
+	CauseNowhere  Cause = "nowhere"  // no upstream can take the request
+	CauseFull     Cause = "full"     // too much is waiting
+	CauseRefused  Cause = "refused"  // upstreams refused it without running it
+	CauseUnknown  Cause = "unknown"  // it may have run, and was not answered
+	CauseTimeout  Cause = "timeout"  // the time is over
+	CauseLeft     Cause = "left"     // the caller has gone
+)
+
+// maxRunning bounds the requests that are served at a time.
+const maxRunning = 2048
+
+// Times after which a refused caller may come back.
+const (
+	retrySoon = 250 * time.Millisecond
+	retryFull = time.Second
+)
+
+// Limits returns the limits on callers, and false while no configuration is
+// known.
+func (r *Relay) Limits() (driftroute.Limits, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.table == nil {
+		return driftroute.Limits{}, false
+	}
+	return r.table.Config.Limits, true
+}
+
+// Running returns the number of requests that are being served.
+func (r *Relay) Running() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running
+}
+
+// Query is one request on its way.
+type Query struct {
+	Request *driftexchange.Request
+	Route   *driftroute.Route
+	Arrived time.Time
+	// End is when the caller must have its answer.
+	End time.Time
+}
+
+// answerMargin is how much earlier than the caller's deadline the final
+// answer leaves, for its way.
+const answerMargin = 10 * time.Millisecond
+
+// Serve answers a request. Wait is how long the caller waits, 0 if it did
+// not say. The path is the part of the target before any query.
+func (r *Relay) Serve(ctx context.Context, request *driftexchange.Request, path string, arrived time.Time, wait time.Duration) Answer {
+	r.mu.Lock()
+	table := r.table
+	full := r.running >= maxRunning
+	if !full {
+		r.running++
+		defer r.leave()
+	}
+	r.mu.Unlock()
+	switch {
+	case full:
+		return refuse(CauseFull, retryFull)
+	case table == nil:
+		return refuse(CauseNoConfig, retrySoon)
+	}
+	route, ok := table.Find(request.Host, path)
+	if !ok && !r.fresh() {
+		return refuse(CauseStale, retrySoon)
+	}
+	if !ok {
+		return Answer{Status: http.StatusNotFound, Cause: CauseNoRoute}
+	}
+	limit := route.Timeout
+	if wait > 0 && (limit <= 0 || wait < limit) {
+		limit = wait
+	}
+	q := &Query{Request: request, Route: route, Arrived: arrived, End: arrived.Add(limit - answerMargin)}
+	return newScatter(r, q).run(ctx)
+}
+
+func (r *Relay) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running--
+}
+
+// refuse returns a refusal of a request that has not run.
+func refuse(cause Cause, retry time.Duration) Answer {
+	return Answer{Status: http.StatusServiceUnavailable, Cause: cause, Retry: retry}
+}
--- /dev/null
+++ b/internal/driftrelay/scatter.go
@@ -0,0 +1,462 @@
+package driftrelay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftexchange"
+	"github.com/almonddrift/almonddrift/internal/driftroute"
+)
+
+// scatter sends one query to one upstream of each of its services and gathers
+// the results. One goroutine runs it; results arrive over a channel that has
+// room for all of them.
+type scatter struct {
+	relay   *Relay
+	query   *Query
+	gather  *driftroute.Gather
+	legs    []*leg
+	results chan landed
+	in      int
+	extras  int
+	refused int
+}
+
+// leg is the part of a query that goes to one service.
+type leg struct {
+	service string
+	tried   []*entity
+	flights []*flight
+	// sent counts the upstreams that the request was sent to and that may
+	// have run it.
+	sent int
+	part *driftexchange.Reply
+	// failure is the newest failure that an upstream answered with.
+	failure *driftexchange.Reply
+	// ran is set once the request may have run.
+	ran bool
+	// over is set when nothing more can be tried.
+	over bool
+	// waits is set while no upstream has room.
+	waits   bool
+	hedgeAt time.Time
+}
+
+type landed struct {
+	leg    *leg
+	flight *flight
+	result driftexchange.Result
+}
+
+// Times of a scatter.
+const (
+	// retryPlace is how often a leg that found no room looks again.
+	retryPlace = 4 * time.Millisecond
+	// loserLife is how long a request whose answer is no longer needed may
+	// go on, so that its connection is kept.
+	loserLife = 300 * time.Millisecond
+	// suspectSpan is how long an upstream is avoided after it has not
+	// answered in time; it is about as long as the published pauses.
+	suspectSpan = 200 * time.Millisecond
+)
+
+func newScatter(r *Relay, q *Query) *scatter {
+	s := &scatter{relay: r, query: q}
+	var services []string
+	switch target := q.Route.Target.(type) {
+	case driftroute.Single:
+		services = []string{target.Service}
+	case driftroute.Split:
+		services = []string{r.spread.Next(q.Route.Name, target)}
+	case driftroute.Gather:
+		services = target.Shards
+		s.gather = &target
+	}
+	legs := make([]leg, len(services))
+	for i, service := range services {
+		legs[i].service = service
+		s.legs = append(s.legs, &legs[i])
+	}
+	s.results = make(chan landed, len(services)*(q.Route.Attempts+maxUnsent))
+	return s
+}
+
+// maxUnsent bounds the upstreams that a leg tries without having sent to
+// them.
+const maxUnsent = 4
+
+// run serves the query.
+func (s *scatter) run(ctx context.Context) Answer {
+	now := time.Now()
+	s.start(now)
+	soft := s.query.Arrived.Add(AnswerAt(s.query.Route.Aim))
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		now = time.Now()
+		if answer, ok := s.settle(now, soft); ok {
+			s.abandon(now, false)
+			return s.close(answer)
+		}
+		timer.Reset(s.wake(now, soft).Sub(now))
+		select {
+		case <-ctx.Done():
+			s.abandon(time.Now(), true)
+			return s.close(Answer{Status: http.StatusServiceUnavailable, Cause: CauseLeft})
+		case l := <-s.results:
+			s.take(l, time.Now())
+		case <-timer.C:
+			s.advance(time.Now())
+		}
+	}
+}
+
+func (s *scatter) start(now time.Time) {
+	r := s.relay
+	r.mu.Lock()
+	for _, l := range s.legs {
+		r.budget(l.service).Request(now, r.rule)
+	}
+	r.mu.Unlock()
+	for _, l := range s.legs {
+		s.try(l, now)
+	}
+}
+
+// budget returns the budget of a service. The caller holds the lock.
+func (r *Relay) budget(service string) *Budget {
+	b, ok := r.budgets[service]
+	if !ok {
+		b = new(Budget)
+		r.budgets[service] = b
+	}
+	return b
+}
+
+// try sends the request of a leg to the best upstream that it has not tried.
+// It reports whether there was one.
+func (s *scatter) try(l *leg, now time.Time) bool {
+	r := s.relay
+	r.mu.Lock()
+	typical := r.typical(s.query.Route)
+	best, ok := r.place(l.service, l.tried, typical, s.query.Route.Aim, now)
+	if !ok {
+		l.waits = r.anyUsable(l.service, l.tried, now)
+		l.over = !l.waits && len(l.flights) == 0
+		r.mu.Unlock()
+		return false
+	}
+	l.waits = false
+	f, send := r.launch(s.query, best.entity, min(best.cost, s.query.Route.Aim), func(f *flight, result driftexchange.Result) {
+		s.results <- landed{leg: l, flight: f, result: result}
+	})
+	l.tried = append(l.tried, best.entity)
+	l.flights = append(l.flights, f)
+	l.hedgeAt = now.Add(HedgeDelay(s.query.Route.Aim, typical))
+	r.mu.Unlock()
+	if !s.query.Route.Repeat {
+		r.checker.AtMostOnce(s.query.Request.ID+"/"+strconv.Itoa(len(l.tried)), s.query.End, now)
+	}
+	send()
+	return true
+}
+
+// anyUsable reports whether an upstream of the service may get work once it
+// has room. The caller holds the lock.
+func (r *Relay) anyUsable(service string, tried []*entity, now time.Time) bool {
+	for _, e := range r.services[service] {
+		if !contains(tried, e) && e.usable(now, r.out[e.Domain]) {
+			return true
+		}
+	}
+	return false
+}
+
+func contains(list []*entity, e *entity) bool {
+	for _, other := range list {
+		if other == e {
+			return true
+		}
+	}
+	return false
+}
+
+// take notes the result of a flight, and tries again where that is allowed.
+func (s *scatter) take(l landed, now time.Time) {
+	leg := l.leg
+	for i, f := range leg.flights {
+		if f == l.flight {
+			leg.flights = append(leg.flights[:i], leg.flights[i+1:]...)
+			break
+		}
+	}
+	if leg.part != nil {
+		return
+	}
+	if l.flight.sent {
+		leg.sent++
+	}
+	switch result := l.result.(type) {
+	case driftexchange.Done:
+		leg.ran = true
+		if result.Reply.Status >= http.StatusMultipleChoices {
+			leg.failure = &result.Reply
+			break
+		}
+		leg.part = &result.Reply
+		s.in++
+		return
+	case driftexchange.Unknown:
+		leg.ran = true
+	case driftexchange.NotRun:
+		s.refused++
+	}
+	if len(leg.flights) == 0 {
+		s.again(leg, now)
+	}
+}
+
+// again tries another upstream after a failure, if route, kind and budget
+// allow it.
+func (s *scatter) again(l *leg, now time.Time) {
+	route := s.query.Route
+	unsent := len(l.tried) - l.sent
+	switch {
+	case l.ran && !route.Repeat, l.sent >= route.Attempts, unsent >= maxUnsent:
+		l.over = true
+	case l.sent > 0 && !s.spend(l, now, true):
+		l.over = true
+	default:
+		s.try(l, now)
+	}
+}
+
+func (s *scatter) spend(l *leg, now time.Time, failed bool) bool {
+	r := s.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.budget(l.service).Spend(now, r.rule, 1+len(r.others), failed) {
+		return false
+	}
+	s.extras++
+	return true
+}
+
+// advance hedges legs that are late and places those that found no room.
+func (s *scatter) advance(now time.Time) {
+	for _, l := range s.legs {
+		switch {
+		case l.part != nil || l.over:
+		case l.waits && len(l.flights) == 0:
+			s.try(l, now)
+		case len(l.flights) == 1 && !l.hedgeAt.IsZero() && !now.Before(l.hedgeAt):
+			s.hedge(l, now)
+		}
+	}
+}
+
+// hedge sends a second request beside one that is late. A first one whose
+// connection is not open yet is given up instead.
+func (s *scatter) hedge(l *leg, now time.Time) {
+	l.hedgeAt = time.Time{}
+	r := s.relay
+	first := l.flights[0]
+	r.mu.Lock()
+	sent := first.sent
+	stalled := now.Sub(first.started) >= SuspectDelay(r.typical(s.query.Route))
+	if stalled {
+		first.entity.suspectTo = now.Add(suspectSpan)
+	}
+	if !sent {
+		first.abandoned = true
+	}
+	r.mu.Unlock()
+	if stalled {
+		r.tell(first.entity.ID, suspectSpan)
+	}
+	if !s.query.Route.Repeat {
+		if !sent {
+			s.try(l, now)
+		}
+		return
+	}
+	if !sent || (l.sent+1 < s.query.Route.Attempts && s.spend(l, now, false)) {
+		if s.try(l, now) {
+			l.hedgeAt = time.Time{}
+		}
+	}
+}
+
+// wake returns when the scatter has to look again without a result.
+func (s *scatter) wake(now, soft time.Time) time.Time {
+	next := s.query.End
+	if s.gather != nil && now.Before(soft) && soft.Before(next) {
+		next = soft
+	}
+	for _, l := range s.legs {
+		if l.part != nil || l.over {
+			continue
+		}
+		if l.waits && len(l.flights) == 0 && now.Add(retryPlace).Before(next) {
+			next = now.Add(retryPlace)
+		}
+		if !l.hedgeAt.IsZero() && len(l.flights) == 1 && l.hedgeAt.Before(next) {
+			next = l.hedgeAt
+		}
+	}
+	return next
+}
+
+// settle returns the answer if there is one by now.
+func (s *scatter) settle(now, soft time.Time) (Answer, bool) {
+	if s.gather != nil {
+		return s.settleGather(now, soft)
+	}
+	l := s.legs[0]
+	switch {
+	case l.part != nil:
+		return s.pass(*l.part), true
+	case l.over && l.failure != nil:
+		return s.pass(*l.failure), true
+	case l.over && l.ran:
+		return Answer{Status: http.StatusBadGateway, Cause: CauseUnknown}, true
+	case l.over && s.refused > 0:
+		return s.notRun(CauseRefused), true
+	case l.over:
+		return s.notRun(CauseNowhere), true
+	case !now.Before(s.query.End) && !l.ran && l.sent == 0 && !anySent(l):
+		return s.notRun(CauseTimeout), true
+	case !now.Before(s.query.End):
+		return Answer{Status: http.StatusGatewayTimeout, Cause: CauseTimeout}, true
+	default:
+		return Answer{}, false
+	}
+}
+
+func anySent(l *leg) bool {
+	for _, f := range l.flights {
+		if f.sent {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *scatter) notRun(cause Cause) Answer {
+	ran := false
+	for _, l := range s.legs {
+		ran = ran || l.ran
+	}
+	s.relay.checker.TrulyNotRun(s.query.Request.ID, ran && !s.query.Route.Repeat)
+	return refuse(cause, retrySoon)
+}
+
+func (s *scatter) settleGather(now, soft time.Time) (Answer, bool) {
+	lost := 0
+	for _, l := range s.legs {
+		if l.over && l.part == nil {
+			lost++
+		}
+	}
+	shards := len(s.legs)
+	enough := Enough(s.in, shards, s.gather.Least)
+	over := !now.Before(s.query.End)
+	switch {
+	case s.in == shards:
+		return s.merge(CauseServed), true
+	case enough && (!now.Before(soft) || s.in+lost == shards || over):
+		return s.merge(CausePartial), true
+	case !Enough(shards-lost, shards, s.gather.Least):
+		return s.notRun(CauseNowhere), true
+	case over:
+		return Answer{Status: http.StatusGatewayTimeout, Cause: CauseTimeout}, true
+	default:
+		return Answer{}, false
+	}
+}
+
+// pass returns the reply of an upstream unchanged.
+func (s *scatter) pass(reply driftexchange.Reply) Answer {
+	return Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body, Cause: CauseServed}
+}
+
+// merge returns the answer made of the parts that are in.
+func (s *scatter) merge(cause Cause) Answer {
+	var bodies [][]byte
+	var proofs, asked, searched, missing []string
+	for _, l := range s.legs {
+		asked = append(asked, l.service)
+		if l.part == nil {
+			missing = append(missing, l.service)
+			continue
+		}
+		searched = append(searched, l.service)
+		bodies = append(bodies, l.part.Body)
+		proofs = append(proofs, l.part.Header.Get(s.relay.headers.Proof))
+	}
+	s.relay.checker.TrueCoverage(s.query.Request.ID, asked, searched, missing, searched)
+	header := make(http.Header, 2)
+	header.Set(s.relay.headers.Parts, strings.Join(proofs, ", "))
+	header.Set(s.relay.headers.Missing, strconv.Itoa(len(missing)))
+	return Answer{Status: http.StatusOK, Header: header, Body: MergeTop(bodies, s.gather.Top), Cause: cause}
+}
+
+// abandon gives up what is still under way: at once if the caller has left,
+// else after a while, so that connections are kept.
+func (s *scatter) abandon(now time.Time, left bool) {
+	r := s.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range s.legs {
+		for _, f := range l.flights {
+			f.abandoned = true
+			switch {
+			case f.conn == nil:
+			case left:
+				go f.conn.Close()
+			default:
+				f.conn.Expire(now.Add(loserLife))
+			}
+		}
+	}
+}
+
+// close records what became of the query.
+func (s *scatter) close(a Answer) Answer {
+	q := s.query
+	code := driftevent.RequestServed
+	if a.Cause != CauseServed {
+		code = driftevent.RequestFailed
+	}
+	s.relay.events.Record(code, q.Request.ID, q.Route.Name, fmt.Sprintf(
+		"%s status %d in %d of %d, extra %d, refused %d, version %d, took %.1f ms%s",
+		a.Cause, a.Status, s.in, len(s.legs), s.extras, s.refused, s.version(),
+		time.Since(q.Arrived).Seconds()*1000, s.late()))
+	return a
+}
+
+func (s *scatter) version() int64 {
+	s.relay.mu.Lock()
+	defer s.relay.mu.Unlock()
+	return s.relay.table.Config.Version
+}
+
+// late names the legs that lack a part and what was tried for them.
+func (s *scatter) late() string {
+	var b strings.Builder
+	for _, l := range s.legs {
+		if l.part != nil {
+			continue
+		}
+		b.WriteString("; " + l.service + " tried")
+		for _, e := range l.tried {
+			b.WriteString(" " + e.ID)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/driftrelay/send.go
@@ -0,0 +1,143 @@
+package driftrelay
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/almonddrift/almonddrift/internal/driftexchange"
+	"github.com/almonddrift/almonddrift/internal/driftroute"
+)
+
+// deadlineMargin is how much less time an upstream gets than is left, for the
+// reply to come back.
+const deadlineMargin = 3 * time.Millisecond
+
+// launch prepares to send the request to the upstream, over an idle connection
+// or a new one. The caller holds the lock, and runs send after it has released
+// it. The result is delivered once.
+func (r *Relay) launch(q *Query, e *entity, expected time.Duration, deliver deliverFunc) (f *flight, send func()) {
+	now := time.Now()
+	f = &flight{entity: e, started: now, expected: expected}
+	e.flights = append(e.flights, f)
+	if now.Before(e.coldUntil) {
+		e.coldSent = count(e.coldSent, now, time.Second)
+	}
+	if c := e.takeConn(now, !q.Route.Repeat); c != nil {
+		f.conn, f.sent = c, true
+		return f, func() { r.exchange(f, q, deliver) }
+	}
+	e.open++
+	return f, func() { go r.open(f, q, deliver) }
+}
+
+// deliverFunc takes the result of a flight.
+type deliverFunc func(*flight, driftexchange.Result)
+
+// open opens a connection for the flight and sends the request on it.
+func (r *Relay) open(f *flight, q *Query, deliver deliverFunc) {
+	c, err := r.dial(context.Background(), f.entity)
+	if err != nil {
+		r.finish(f, q, driftexchange.NotRun{Err: err}, deliver)
+		return
+	}
+	r.mu.Lock()
+	abandoned := f.abandoned
+	f.conn, f.sent = c, !abandoned
+	r.mu.Unlock()
+	if abandoned {
+		r.finish(f, q, driftexchange.NotRun{Err: errAbandoned}, deliver)
+		return
+	}
+	r.exchange(f, q, deliver)
+}
+
+const errAbandoned = errors.ConstError("no longer needed")
+
+func (r *Relay) exchange(f *flight, q *Query, deliver deliverFunc) {
+	deadline := q.End.Add(-deadlineMargin)
+	r.checker.NotLeaving(q.Request.ID, f.entity.ID, f.entity.leavingAt, f.started)
+	f.conn.Send(q.Request, f.entity.ID, deadline, func(result driftexchange.Result) {
+		r.finish(f, q, result, deliver)
+	})
+}
+
+// finish notes what the result says of the upstream, gives the connection
+// back and delivers the result.
+func (r *Relay) finish(f *flight, q *Query, result driftexchange.Result, deliver deliverFunc) {
+	now := time.Now()
+	r.mu.Lock()
+	e := f.entity
+	e.removeFlight(f)
+	switch result := result.(type) {
+	case driftexchange.Done:
+		e.up()
+		failed := result.Reply.Status >= statusFailure
+		e.fail(now, failed)
+		if !failed {
+			r.learn(f, q, now)
+		}
+		r.noteLoad(e, result.Reply.Header.Get(r.headers.Load), now)
+	case driftexchange.NotRun:
+		r.noteNotRun(f, result, now)
+	case driftexchange.Unknown:
+		if !f.abandoned && now.Before(q.End.Add(-2*deadlineMargin)) {
+			e.fail(now, true)
+		}
+	}
+	if f.conn != nil && f.conn.Usable(now) && e.goneAt.IsZero() {
+		e.idle = append(e.idle, f.conn)
+	} else if f.conn != nil {
+		f.conn.Close()
+	}
+	r.mu.Unlock()
+	deliver(f, result)
+}
+
+// statusFailure is the lowest status of a failure of the upstream itself.
+const statusFailure = 500
+
+func (r *Relay) noteNotRun(f *flight, result driftexchange.NotRun, now time.Time) {
+	e := f.entity
+	switch {
+	case result.Moved:
+		e.goneAt = now.Add(-goneGrace)
+	case result.Sent:
+		e.up()
+		e.fail(now, true)
+	case !errors.Is(result.Err, errAbandoned):
+		e.down(now)
+	}
+}
+
+func (r *Relay) noteLoad(e *entity, text string, now time.Time) {
+	if load, ok := driftexchange.ParseLoad(text); ok {
+		e.load, e.loadAt = load, now
+	}
+}
+
+// learn notes how long a request took, for the upstream and for its class.
+func (r *Relay) learn(f *flight, q *Query, now time.Time) {
+	took := now.Sub(f.started)
+	typical := r.typical(q.Route)
+	f.entity.learn(now, took, typical)
+	bounded := min(took, 3*typical)
+	r.usual[q.Route.Name] = typical + time.Duration(usualGain*float64(bounded-typical))
+}
+
+// usualGain is the weight of a new observation of a class.
+const usualGain = 0.02
+
+// typical returns how long a request of the class usually takes at an
+// upstream. The caller holds the lock.
+func (r *Relay) typical(route *driftroute.Route) time.Duration {
+	if usual, ok := r.usual[route.Name]; ok {
+		return usual
+	}
+	return route.Aim / firstUsual
+}
+
+// firstUsual is the part of its objective that a class is taken to need
+// before it has been observed.
+const firstUsual = 6
--- /dev/null
+++ b/internal/driftroute/route.go
@@ -0,0 +1,153 @@
+// Package driftroute holds the routes that operators publish and finds the
+// route of a request.
+//
+// A Config is one published version: routes, services and limits on callers.
+// It is immutable; NewTable indexes it once, and every request then reads one
+// Table from its start to its end, so that all parts of an answer come from
+// the shards of one version.
+//
+// # Usage
+//
+//	table := driftroute.NewTable(config)
+//	route, ok := table.Find("search.example", "/bookings/open")
+//	switch target := route.Target.(type) {
+//	case driftroute.Gather:
+//		fmt.Println(len(target.Shards))
+//	}
+package driftroute
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Target is where the requests of a route go: Single, Split or Gather.
+type Target interface{ target() }
+
+// Single sends each request to one upstream of a service.
+type Single struct{ Service string }
+
+// Split distributes requests over services by weight.
+type Split struct{ Parts []Weighted }
+
+// Weighted is one service of a Split.
+type Weighted struct {
+	Service string
+	Weight  float64
+}
+
+// Gather sends each request to one upstream of every shard and merges the
+// parts.
+type Gather struct {
+	// Shards are the services that hold the parts of the index.
+	Shards []string
+	// Top is the number of records in an answer.
+	Top int
+	// Least is the smallest share of the shards that makes a success.
+	Least float64
+}
+
+func (Single) target() {}
+func (Split) target()  {}
+func (Gather) target() {}
+
+// Route tells how requests of one host and path prefix are served.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Target Target
+	// Repeat reports whether a request may run more than once.
+	Repeat bool
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// Aim is the latency objective.
+	Aim time.Duration
+	// Attempts is the number of upstreams that one request may be sent to,
+	// for a Gather at each shard.
+	Attempts int
+	// Priority ranks classes, 0 is the most urgent.
+	Priority int
+}
+
+// Service is a set of upstreams that serve the same requests.
+type Service struct {
+	Name string
+	// Health is the path of the health check.
+	Health string
+	// Conns is the number of connections that one upstream accepts from all
+	// VMs together.
+	Conns int
+	// ColdRate is the number of requests a second that a cold upstream bears
+	// from all VMs together, 0 if no bound is published.
+	ColdRate float64
+}
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
+
+// Config is one published version of the routes.
+type Config struct {
+	Version  int64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+}
+
+// Table finds routes and services of one Config.
+type Table struct {
+	Config   Config
+	hosts    map[string][]*Route
+	services map[string]Service
+}
+
+// NewTable returns an index of the config.
+func NewTable(config Config) *Table {
+	t := &Table{
+		Config:   config,
+		hosts:    make(map[string][]*Route),
+		services: make(map[string]Service, len(config.Services)),
+	}
+	for i := range t.Config.Routes {
+		r := &t.Config.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int {
+			return cmp.Compare(len(b.Prefix), len(a.Prefix))
+		})
+	}
+	for _, s := range config.Services {
+		t.services[s.Name] = s
+	}
+	return t
+}
+
+// Find returns the route with the longest prefix of the path at the host. A
+// port behind the host is ignored.
+func (t *Table) Find(host, path string) (*Route, bool) {
+	host = strings.ToLower(host)
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	for _, r := range t.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Service returns the service of that name.
+func (t *Table) Service(name string) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
--- /dev/null
+++ b/internal/driftroute/spread.go
@@ -0,0 +1,42 @@
+package driftroute
+
+import "sync"
+
+// Spread distributes the requests of Split routes by smooth weighted round
+// robin, so that the shares hold over short spans too. It is safe for
+// concurrent use.
+type Spread struct {
+	mu      sync.Mutex
+	credits map[spreadKey]float64
+}
+
+type spreadKey struct{ route, service string }
+
+// NewSpread returns a Spread that has served no request.
+func NewSpread() *Spread {
+	return &Spread{credits: make(map[spreadKey]float64)}
+}
+
+// Next returns the service that serves the next request of the route. It
+// returns "" if no part has a weight above 0.
+func (s *Spread) Next(route string, split Split) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var total float64
+	best := ""
+	for _, p := range split.Parts {
+		if p.Weight <= 0 {
+			continue
+		}
+		key := spreadKey{route: route, service: p.Service}
+		total += p.Weight
+		s.credits[key] += p.Weight
+		if best == "" || s.credits[key] > s.credits[spreadKey{route: route, service: best}] {
+			best = p.Service
+		}
+	}
+	if best != "" {
+		s.credits[spreadKey{route: route, service: best}] -= total
+	}
+	return best
+}
--- /dev/null
+++ b/internal/driftstate/reader.go
@@ -0,0 +1,238 @@
+package driftstate
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// ErrCompacted says that the platform no longer has the history after the
+// revision that a watch began at.
+const ErrCompacted = errors.ConstError("history compacted")
+
+// Source reads what the platform publishes.
+type Source interface {
+	// List returns everything. With stale set it may be seconds old, at a
+	// lower price.
+	List(ctx context.Context, stale bool) (Changes, error)
+	// Watch returns the changes after the revision, or none when the wait is
+	// over. It returns ErrCompacted if the history is gone.
+	Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error)
+}
+
+// Fleet is what a reader knows of the other VMs.
+type Fleet interface {
+	// Reads reports whether this VM is one of those that watch the platform.
+	Reads() bool
+	// Pull asks a VM that holds a newer revision, and returns an error if
+	// none is known or it did not answer.
+	Pull(ctx context.Context, after int64) (Changes, error)
+	// Blind tells other VMs whether this one can read the platform.
+	Blind(blind bool)
+	// News tells other VMs at once that the revision has grown.
+	News()
+}
+
+// Times of a reader. A change has to be in force within 3 s on both
+// published sites; a silent watch is noticed well before that.
+const (
+	// watchWait is how long one watch waits for a change. It sets how often a
+	// quiet fleet calls the platform, and how old confirmed state may get.
+	watchWait = 2 * time.Second
+	// watchSlack is how much later than asked an answer to a watch may come.
+	watchSlack = 700 * time.Millisecond
+	// listTimeout bounds one listing.
+	listTimeout = 2 * time.Second
+	// readAfter is the age from which a VM that does not watch reads for
+	// itself: a watch, its slack, and the way through the fleet.
+	readAfter = 3200 * time.Millisecond
+	// idlePause is how often a VM that does not watch looks at its state.
+	idlePause = 200 * time.Millisecond
+	// firstPause and lastPause bound the pause after a failed read.
+	firstPause = 100 * time.Millisecond
+	lastPause  = time.Second
+	// bootWait is how long a VM that starts waits for state from others
+	// before it lists by itself.
+	bootWait = 300 * time.Millisecond
+)
+
+// Reader keeps a replica fresh.
+type Reader struct {
+	replica *Replica
+	source  Source
+	fleet   Fleet
+	observe func(Read)
+	nudge   chan struct{}
+	failed  atomic.Bool
+}
+
+// Read is the outcome of one call to the platform or to another VM.
+type Read struct {
+	Kind     ReadKind
+	Revision int64
+	Items    int
+	Err      error
+	Took     time.Duration
+}
+
+// ReadKind is the kind of a call.
+type ReadKind string
+
+// The kinds of calls.
+const (
+	ReadList  ReadKind = "list"
+	ReadWatch ReadKind = "watch"
+	ReadPull  ReadKind = "pull"
+)
+
+// ReaderOption changes a Reader that NewReader makes.
+type ReaderOption func(*Reader)
+
+// WithObserver calls the function after every call.
+func WithObserver(observe func(Read)) ReaderOption {
+	return func(r *Reader) { r.observe = observe }
+}
+
+// NewReader returns a reader that fills the replica.
+func NewReader(replica *Replica, source Source, fleet Fleet, opts ...ReaderOption) *Reader {
+	r := &Reader{
+		replica: replica, source: source, fleet: fleet,
+		observe: func(Read) {}, nudge: make(chan struct{}, 1),
+	}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
+}
+
+// Nudge makes the reader look at once whether another VM holds a newer
+// revision.
+func (r *Reader) Nudge() {
+	select {
+	case r.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// Run reads until the context ends. Pulls run beside the watch, so that news
+// from other VMs does not wait for it.
+func (r *Reader) Run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.pulls(ctx)
+	}()
+	r.reads(ctx)
+	<-done
+}
+
+// pulls takes newer state from other VMs whenever they announce it.
+func (r *Reader) pulls(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.nudge:
+		}
+		r.pull(ctx)
+	}
+}
+
+func (r *Reader) pull(ctx context.Context) {
+	revision, _ := r.replica.Revision()
+	start := time.Now()
+	c, err := r.fleet.Pull(ctx, revision)
+	if errors.Is(err, errors.NotFound) {
+		return
+	}
+	r.observe(Read{Kind: ReadPull, Revision: c.Revision, Items: len(c.Items), Err: err, Took: time.Since(start)})
+	if err != nil {
+		return
+	}
+	if r.replica.Apply(c, time.Now()) {
+		r.fleet.News()
+	}
+}
+
+func (r *Reader) reads(ctx context.Context) {
+	if !r.fleet.Reads() {
+		sleep(ctx, bootWait)
+	}
+	pause := firstPause
+	for ctx.Err() == nil {
+		if !r.due() {
+			sleep(ctx, idlePause)
+			continue
+		}
+		err := r.read(ctx)
+		if err == nil {
+			pause = firstPause
+			continue
+		}
+		sleep(ctx, pause+rand.N(pause))
+		pause = min(2*pause, lastPause)
+	}
+}
+
+// due reports whether this VM should read the platform now.
+func (r *Reader) due() bool {
+	revision, confirmed := r.replica.Revision()
+	return revision == 0 || r.fleet.Reads() || time.Since(confirmed) > readAfter
+}
+
+func (r *Reader) read(ctx context.Context) error {
+	revision, _ := r.replica.Revision()
+	if revision == 0 {
+		return r.list(ctx, !r.failed.Load())
+	}
+	err := r.watch(ctx, revision)
+	if errors.Is(err, ErrCompacted) {
+		return r.list(ctx, false)
+	}
+	return err
+}
+
+func (r *Reader) list(ctx context.Context, stale bool) error {
+	bounded, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	start := time.Now()
+	c, err := r.source.List(bounded, stale)
+	if stale {
+		c.Confirmed = time.Time{}
+	}
+	r.finish(ReadList, c, err, start)
+	return err
+}
+
+func (r *Reader) watch(ctx context.Context, after int64) error {
+	bounded, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	start := time.Now()
+	c, err := r.source.Watch(bounded, after, watchWait)
+	r.finish(ReadWatch, c, err, start)
+	return err
+}
+
+func (r *Reader) finish(kind ReadKind, c Changes, err error, start time.Time) {
+	r.observe(Read{Kind: kind, Revision: c.Revision, Items: len(c.Items), Err: err, Took: time.Since(start)})
+	r.failed.Store(err != nil)
+	r.fleet.Blind(err != nil && !errors.Is(err, ErrCompacted))
+	if err != nil {
+		return
+	}
+	if r.replica.Apply(c, time.Now()) {
+		r.fleet.News()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/driftstate/replica.go
@@ -0,0 +1,196 @@
+// Package driftstate holds a replica of what the platform publishes and keeps
+// it fresh: a few VMs watch the platform, the others take the changes from
+// them.
+//
+// A Replica holds items by key. Each item has the revision of its last change,
+// and removed items stay for a while as tombstones, so that Changes can tell
+// another VM exactly what happened after a revision. An item never goes back
+// to an older revision, whoever offers it.
+//
+// # Usage
+//
+//	replica := driftstate.NewReplica()
+//	reader := driftstate.NewReader(replica, source, fleet)
+//	go reader.Run(ctx)
+//	for range replica.Changed() {
+//		items, revision := replica.Live()
+//	}
+package driftstate
+
+import (
+	"sync"
+	"time"
+)
+
+// Item is one key as the platform published it.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision int64
+	Removed  bool
+	// Seen is the monotonic time at which this replica took the item over.
+	Seen time.Time
+}
+
+// Changes is what happened after a revision, or everything if Full is set.
+type Changes struct {
+	Full     bool
+	Items    []Item
+	Revision int64
+	// Confirmed is when the platform had Revision as its newest.
+	Confirmed time.Time
+}
+
+// tombstoneLife is how long removed items are kept for VMs that ask for
+// changes; a VM that lags further behind takes everything.
+const tombstoneLife = 30 * time.Second
+
+// Replica is a copy of the published items. It is safe for concurrent use.
+type Replica struct {
+	changed chan struct{}
+
+	mu        sync.Mutex
+	items     map[string]Item
+	revision  int64
+	confirmed time.Time
+	// floor is the newest revision whose tombstone was dropped.
+	floor int64
+	// recovered is when the platform last answered after a gap.
+	recovered time.Time
+}
+
+// NewReplica returns a replica that holds nothing.
+func NewReplica() *Replica {
+	return &Replica{items: make(map[string]Item), changed: make(chan struct{}, 1)}
+}
+
+// Changed receives after the items have changed. Several changes may arrive
+// as one.
+func (r *Replica) Changed() <-chan struct{} { return r.changed }
+
+// Revision returns the newest revision that the replica holds completely, and
+// when the platform last confirmed that it was the newest. Both are zero
+// before the first read.
+func (r *Replica) Revision() (int64, time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.revision, r.confirmed
+}
+
+// Live returns the items that are not removed, in no order.
+func (r *Replica) Live() []Item {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	live := make([]Item, 0, len(r.items))
+	for _, item := range r.items {
+		if !item.Removed {
+			live = append(live, item)
+		}
+	}
+	return live
+}
+
+// Apply takes changes over and reports whether any item changed. Items that
+// are not newer than what the replica holds are ignored.
+func (r *Replica) Apply(c Changes, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !c.Full && r.revision == 0 {
+		return false
+	}
+	changed := false
+	for _, item := range c.Items {
+		changed = r.take(item, now) || changed
+	}
+	if c.Full {
+		changed = r.removeMissing(c, now) || changed
+	}
+	r.revision = max(r.revision, c.Revision)
+	r.confirm(c.Revision, c.Confirmed)
+	r.forget(now)
+	if changed {
+		select {
+		case r.changed <- struct{}{}:
+		default:
+		}
+	}
+	return changed
+}
+
+// Confirm notes that the platform had the revision as its newest at a moment.
+// It changes nothing while the replica holds an older revision.
+func (r *Replica) Confirm(revision int64, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.confirm(revision, at)
+}
+
+// Distrust forgets when the state was confirmed, after the process did not
+// run for a while.
+func (r *Replica) Distrust() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.confirmed = time.Time{}
+}
+
+func (r *Replica) confirm(revision int64, at time.Time) {
+	if r.revision >= revision && at.After(r.confirmed) {
+		r.confirmed = at
+	}
+}
+
+func (r *Replica) take(item Item, now time.Time) bool {
+	held, ok := r.items[item.Key]
+	if ok && held.Revision >= item.Revision {
+		return false
+	}
+	if !ok && item.Removed && item.Revision <= r.floor {
+		return false
+	}
+	item.Seen = now
+	r.items[item.Key] = item
+	return true
+}
+
+// removeMissing turns items that a full list lacks into tombstones, unless
+// they are newer than the list.
+func (r *Replica) removeMissing(c Changes, now time.Time) bool {
+	listed := make(map[string]bool, len(c.Items))
+	for _, item := range c.Items {
+		listed[item.Key] = true
+	}
+	changed := false
+	for key, held := range r.items {
+		if held.Removed || listed[key] || held.Revision > c.Revision || c.Revision < r.revision {
+			continue
+		}
+		r.items[key] = Item{Key: key, Revision: c.Revision, Removed: true, Seen: now}
+		changed = true
+	}
+	return changed
+}
+
+func (r *Replica) forget(now time.Time) {
+	for key, held := range r.items {
+		if held.Removed && now.Sub(held.Seen) > tombstoneLife {
+			r.floor = max(r.floor, held.Revision)
+			delete(r.items, key)
+		}
+	}
+}
+
+// After returns what happened after the revision. It returns everything if
+// the replica no longer knows each removal since then.
+func (r *Replica) After(revision int64) Changes {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := Changes{
+		Full: revision < r.floor || revision == 0, Revision: r.revision, Confirmed: r.confirmed,
+	}
+	for _, item := range r.items {
+		if c.Full && !item.Removed || !c.Full && item.Revision > revision {
+			c.Items = append(c.Items, item)
+		}
+	}
+	return c
+}
