Rank extra sends by need, count refusals apart from failures

Change: extra sends are ranked by need; refusals are remembered 4 s and cost five objectives; a flight that was never sent is taken off its leg; a young VM spends a quarter of the fixed share; 85% of the connections are used.

--- a/internal/driftrelay/budget.go
+++ b/internal/driftrelay/budget.go
@@ -7,12 +7,9 @@
 // buckets only.
 const (
 	budgetBucket = time.Second
-	// budgetCaution is the part of this VM's share that it spends. The rest
-	// covers VMs that start again and forget what they spent.
-	budgetCaution = 0.75
-	// hedgePart is the part of the share that hedges may use; the rest is
-	// kept for requests whose first attempt failed.
-	hedgePart = 0.6
+	// youngPart is the part of the fixed share that a VM spends in its first
+	// window: an earlier incarnation may have spent the rest.
+	youngPart = 0.25
 )
 
 // BudgetRule bounds the extra sends that a service gets from all VMs in any
@@ -44,29 +41,67 @@
 	b.requests = count(b.requests, now, 2*r.Window)
 }
 
-// Spend counts an extra send and reports whether the share allowed it. VMs is
-// the number of VMs that share the budget. Failed says that an earlier send
-// failed, rather than being late.
-func (b *Budget) Spend(now time.Time, r BudgetRule, vms int, failed bool) bool {
-	part := budgetCaution
-	if !failed {
-		part *= hedgePart
+// Need ranks what an extra send is for. The less it matters, the sooner it
+// stops while the budget runs out.
+type Need float64
+
+// The parts of its share that a VM spends for each need. What is above the
+// first covers VMs that start again and forget what they spent.
+const (
+	// NeedAnswer is for a request that fails without the send.
+	NeedAnswer Need = 0.9
+	// NeedHedge is for a request that is late without the send.
+	NeedHedge Need = 0.85
+	// NeedPart is for a part that an answer may lack, after a failure.
+	NeedPart Need = 0.8
+	// NeedLatePart is for a part that an answer may lack, and that is late.
+	NeedLatePart Need = 0.7
+)
+
+// NeedOf returns what an extra send is for: whether an earlier one failed, or
+// is late, and whether the answer may lack the part.
+func NeedOf(failed, spare bool) Need {
+	switch {
+	case failed && spare:
+		return NeedPart
+	case failed:
+		return NeedAnswer
+	case spare:
+		return NeedLatePart
+	default:
+		return NeedHedge
 	}
+}
+
+// Share is this VM's part of what the fleet shares.
+type Share struct {
+	// VMs is the number of VMs that share the budget.
+	VMs int
+	// Young is set while the VM has not run for a whole window.
+	Young bool
+}
+
+// Spend counts an extra send and reports whether the share allowed it.
+func (b *Budget) Spend(now time.Time, r BudgetRule, share Share, need Need) bool {
 	spent := sum(b.extras, now.Add(-r.Window-budgetBucket), now)
-	if spent+1 > part*b.allowance(now, r, vms) {
+	if spent+1 > float64(need)*b.allowance(now, r, share) {
 		return false
 	}
 	b.extras = count(b.extras, now, r.Window+budgetBucket)
 	return true
 }
 
-func (b *Budget) allowance(now time.Time, r BudgetRule, vms int) float64 {
+func (b *Budget) allowance(now time.Time, r BudgetRule, share Share) float64 {
 	most := 0.0
 	for _, back := range []time.Duration{0, r.Window / 2, r.Window} {
 		end := now.Add(-back)
 		most = max(most, sum(b.requests, end.Add(-r.Window), end))
 	}
-	return r.Ratio*most + r.Extra/float64(max(1, vms))
+	fixed := r.Extra / float64(max(1, share.VMs))
+	if share.Young {
+		fixed *= youngPart
+	}
+	return r.Ratio*most + fixed
 }
 
 func count(buckets []bucket, now time.Time, keep time.Duration) []bucket {
--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -175,6 +175,11 @@
 	cost   time.Duration
 }
 
+// connPart is the part of an upstream's connections that the fleet uses: those
+// of a VM that died count for a while longer, and an upstream accepts fewer
+// while its queue is long.
+const connPart = 0.85
+
 // jitter spreads choices between upstreams that look alike.
 const jitter = time.Millisecond
 
@@ -190,7 +195,7 @@
 		if slices.Contains(tried, e) || !e.usable(now, out) {
 			continue
 		}
-		limit := share(published.Conns, e.Domain, e.ID, r.self, r.others)
+		limit := share(int(connPart*float64(published.Conns)), e.Domain, e.ID, r.self, r.others)
 		if len(e.idle) == 0 && e.open >= limit {
 			continue
 		}
--- a/internal/driftrelay/place.go
+++ b/internal/driftrelay/place.go
@@ -18,6 +18,8 @@
 	Suspected time.Duration
 	// Failing is the share of recent requests that failed.
 	Failing float64
+	// Refusing is the share of recent requests that were refused at once.
+	Refusing float64
 	// Aim is the latency objective of the class.
 	Aim time.Duration
 	// Open is set if a connection has to be opened first.
@@ -35,6 +37,10 @@
 	farCost = 4 * time.Millisecond
 	// openCost is the usual time to open a connection.
 	openCost = 6 * time.Millisecond
+	// refusalCost is what a certain refusal costs, in latency objectives. It
+	// comes at once, but takes an extra send from the budget, and requests
+	// whose budget is spent fail.
+	refusalCost = 5
 	// leavingCost puts upstreams that leave behind all others.
 	leavingCost = 10 * time.Second
 )
@@ -51,7 +57,7 @@
 		cost += work * time.Duration(waiting) / time.Duration(max(1, f.Slots))
 	}
 	cost += max(f.Stalled, f.Suspected)
-	cost += time.Duration(f.Failing * float64(f.Aim))
+	cost += time.Duration((f.Failing + refusalCost*f.Refusing) * float64(f.Aim))
 	if f.Open {
 		cost += openCost
 	}
@@ -96,3 +102,12 @@
 func Enough(in, shards int, least float64) bool {
 	return in > 0 && float64(in) >= least*float64(shards)-1e-9
 }
+
+// Spare returns the number of parts that an answer may lack.
+func Spare(shards int, least float64) int {
+	spare := 0
+	for spare < shards && Enough(shards-spare-1, shards, least) {
+		spare++
+	}
+	return spare
+}
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -37,6 +37,7 @@
 	tell    func(upstream string, span time.Duration)
 	fresh   func() bool
 	spread  *driftroute.Spread
+	started time.Time
 
 	mu        sync.Mutex
 	table     *driftroute.Table
@@ -84,7 +85,7 @@
 	events := driftevent.NewLog(self.Name, 0)
 	r := &Relay{
 		self: self, headers: headers, rule: DefaultBudget(), events: events,
-		checker: driftcheck.NewChecker(events), spread: driftroute.NewSpread(),
+		checker: driftcheck.NewChecker(events), spread: driftroute.NewSpread(), started: time.Now(),
 		tell: func(string, time.Duration) {}, fresh: func() bool { return true },
 		upstreams: make(map[string]*entity), services: make(map[string][]*entity),
 		out: make(map[string]time.Time), budgets: make(map[string]*Budget),
@@ -197,6 +198,12 @@
 	return newScatter(r, q).run(ctx)
 }
 
+// budgetShare returns this VM's share of the budgets. The caller holds the
+// lock.
+func (r *Relay) budgetShare(now time.Time) Share {
+	return Share{VMs: 1 + len(r.others), Young: now.Sub(r.started) < r.rule.Window}
+}
+
 func (r *Relay) leave() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -23,7 +24,10 @@
 	legs    []*leg
 	results chan landed
 	in      int
+	// spare is the number of parts that an answer may lack.
+	spare   int
 	extras  int
+	denied  int
 	refused int
 }
 
@@ -43,8 +47,10 @@
 	// over is set when nothing more can be tried.
 	over bool
 	// waits is set while no upstream has room.
-	waits   bool
-	hedgeAt time.Time
+	waits bool
+	// troubled is set once the leg has failed or been late.
+	troubled bool
+	hedgeAt  time.Time
 }
 
 type landed struct {
@@ -76,13 +82,14 @@
 	case driftroute.Gather:
 		services = target.Shards
 		s.gather = &target
+		s.spare = Spare(len(target.Shards), target.Least)
 	}
 	legs := make([]leg, len(services))
 	for i, service := range services {
 		legs[i].service = service
 		s.legs = append(s.legs, &legs[i])
 	}
-	s.results = make(chan landed, len(services)*(q.Route.Attempts+maxUnsent))
+	s.results = make(chan landed, len(services)*(q.Route.Attempts+maxUnsent+1))
 	return s
 }
 
@@ -170,16 +177,7 @@
 // has room. The caller holds the lock.
 func (r *Relay) anyUsable(service string, tried []*entity, now time.Time) bool {
 	for _, e := range r.services[service] {
-		if !contains(tried, e) && e.usable(now, r.out[e.Domain]) {
-			return true
-		}
-	}
-	return false
-}
-
-func contains(list []*entity, e *entity) bool {
-	for _, other := range list {
-		if other == e {
+		if !slices.Contains(tried, e) && e.usable(now, r.out[e.Domain]) {
 			return true
 		}
 	}
@@ -189,15 +187,11 @@
 // take notes the result of a flight, and tries again where that is allowed.
 func (s *scatter) take(l landed, now time.Time) {
 	leg := l.leg
-	for i, f := range leg.flights {
-		if f == l.flight {
-			leg.flights = append(leg.flights[:i], leg.flights[i+1:]...)
-			break
-		}
-	}
-	if leg.part != nil {
+	i := slices.Index(leg.flights, l.flight)
+	if i < 0 || leg.part != nil {
 		return
 	}
+	leg.flights = slices.Delete(leg.flights, i, i+1)
 	if l.flight.sent {
 		leg.sent++
 	}
@@ -224,10 +218,9 @@
 // again tries another upstream after a failure, if route, kind and budget
 // allow it.
 func (s *scatter) again(l *leg, now time.Time) {
-	route := s.query.Route
-	unsent := len(l.tried) - l.sent
+	l.troubled = true
 	switch {
-	case l.ran && !route.Repeat, l.sent >= route.Attempts, unsent >= maxUnsent:
+	case !s.mayTry(l):
 		l.over = true
 	case l.sent > 0 && !s.spend(l, now, true):
 		l.over = true
@@ -236,30 +229,65 @@
 	}
 }
 
+// mayTry reports whether the request of a leg may go to one more upstream.
+// Requests that are under way count as sent.
+func (s *scatter) mayTry(l *leg) bool {
+	route := s.query.Route
+	sent := l.sent + len(l.flights)
+	if sent > 0 && l.ran && !route.Repeat {
+		return false
+	}
+	return sent < route.Attempts && len(l.tried)-l.sent < maxUnsent
+}
+
+// spend takes an extra send from the budget of the leg's service.
 func (s *scatter) spend(l *leg, now time.Time, failed bool) bool {
 	r := s.relay
+	need := NeedOf(failed, s.gather != nil && s.troubled() <= s.spare)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.budget(l.service).Spend(now, r.rule, 1+len(r.others), failed) {
+	if !r.budget(l.service).Spend(now, r.rule, r.budgetShare(now), need) {
+		s.denied++
 		return false
 	}
 	s.extras++
 	return true
 }
 
+// troubled returns the number of legs that have failed or are late.
+func (s *scatter) troubled() int {
+	n := 0
+	for _, l := range s.legs {
+		if l.part == nil && l.troubled {
+			n++
+		}
+	}
+	return n
+}
+
 // advance hedges legs that are late and places those that found no room.
 func (s *scatter) advance(now time.Time) {
+	for _, l := range s.legs {
+		if l.late(now) {
+			l.troubled = true
+		}
+	}
 	for _, l := range s.legs {
 		switch {
 		case l.part != nil || l.over:
 		case l.waits && len(l.flights) == 0:
 			s.try(l, now)
-		case len(l.flights) == 1 && !l.hedgeAt.IsZero() && !now.Before(l.hedgeAt):
+		case l.late(now):
 			s.hedge(l, now)
 		}
 	}
 }
 
+// late reports whether the only request of the leg is due for a hedge.
+func (l *leg) late(now time.Time) bool {
+	return l.part == nil && !l.over && len(l.flights) == 1 && !l.hedgeAt.IsZero() && !now.Before(l.hedgeAt)
+}
+
 // hedge sends a second request beside one that is late. A first one whose
 // connection is not open yet is given up instead.
 func (s *scatter) hedge(l *leg, now time.Time) {
@@ -272,23 +300,18 @@
 	if stalled {
 		first.entity.suspectTo = now.Add(suspectSpan)
 	}
-	if !sent {
-		first.abandoned = true
-	}
+	first.abandoned = !sent
 	r.mu.Unlock()
 	if stalled {
 		r.tell(first.entity.ID, suspectSpan)
 	}
-	if !s.query.Route.Repeat {
-		if !sent {
-			s.try(l, now)
-		}
+	if !sent {
+		l.flights = nil
+		s.again(l, now)
 		return
 	}
-	if !sent || (l.sent+1 < s.query.Route.Attempts && s.spend(l, now, false)) {
-		if s.try(l, now) {
-			l.hedgeAt = time.Time{}
-		}
+	if s.query.Route.Repeat && s.mayTry(l) && s.spend(l, now, false) && s.try(l, now) {
+		l.hedgeAt = time.Time{}
 	}
 }
 
@@ -434,8 +457,8 @@
 		code = driftevent.RequestFailed
 	}
 	s.relay.events.Record(code, q.Request.ID, q.Route.Name, fmt.Sprintf(
-		"%s status %d in %d of %d, extra %d, refused %d, version %d, took %.1f ms%s",
-		a.Cause, a.Status, s.in, len(s.legs), s.extras, s.refused, s.version(),
+		"%s status %d in %d of %d, extra %d, denied %d, refused %d, version %d, took %.1f ms%s",
+		a.Cause, a.Status, s.in, len(s.legs), s.extras, s.denied, s.refused, s.version(),
 		time.Since(q.Arrived).Seconds()*1000, s.late()))
 	return a
 }
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -74,7 +74,7 @@
 	case driftexchange.Done:
 		e.up()
 		failed := result.Reply.Status >= statusFailure
-		e.fail(now, failed)
+		e.judge(now, failed, false)
 		if !failed {
 			r.learn(f, q, now)
 		}
@@ -83,7 +83,7 @@
 		r.noteNotRun(f, result, now)
 	case driftexchange.Unknown:
 		if !f.abandoned && now.Before(q.End.Add(-2*deadlineMargin)) {
-			e.fail(now, true)
+			e.judge(now, true, false)
 		}
 	}
 	if f.conn != nil && f.conn.Usable(now) && e.goneAt.IsZero() {
@@ -105,7 +105,7 @@
 		e.goneAt = now.Add(-goneGrace)
 	case result.Sent:
 		e.up()
-		e.fail(now, true)
+		e.judge(now, false, true)
 	case !errors.Is(result.Err, errAbandoned):
 		e.down(now)
 	}
--- a/internal/driftrelay/upstream.go
+++ b/internal/driftrelay/upstream.go
@@ -47,7 +47,7 @@
 	// forgetSpeed is how long a slow upstream is believed to stay slow.
 	forgetSpeed = 3 * time.Second
 	// forgetFailing is how long failures count.
-	forgetFailing = 2 * time.Second
+	forgetFailing = 4 * time.Second
 	// loadLife is how long a report of load is believed.
 	loadLife = 150 * time.Millisecond
 	// maxSpeed bounds how slow an upstream may look.
@@ -73,8 +73,8 @@
 
 	speed     float64
 	speedAt   time.Time
-	failing   float64
-	failingAt time.Time
+	failing   average
+	refusing  average
 	load      driftexchange.Load
 	loadAt    time.Time
 	suspectTo time.Time
@@ -135,7 +135,7 @@
 func (e *entity) facts(now time.Time, typical, aim time.Duration, domain string, out bool) Facts {
 	f := Facts{
 		Typical: typical, Speed: e.speedNow(now), Slots: e.Slots, Ahead: len(e.flights),
-		Suspected: max(0, e.suspectTo.Sub(now)), Failing: e.failingNow(now), Aim: aim,
+		Suspected: max(0, e.suspectTo.Sub(now)), Failing: e.failing.at(now), Refusing: e.refusing.at(now), Aim: aim,
 		Open: len(e.idle) == 0, Far: e.Domain != domain,
 		Leaving: !e.leavingAt.IsZero() || !e.goneAt.IsZero() || out,
 	}
@@ -152,10 +152,6 @@
 	return 1 + (e.speed-1)*decay(now.Sub(e.speedAt), forgetSpeed)
 }
 
-func (e *entity) failingNow(now time.Time) float64 {
-	return e.failing * decay(now.Sub(e.failingAt), forgetFailing)
-}
-
 func decay(age, life time.Duration) float64 {
 	return math.Exp(-age.Seconds() / life.Seconds())
 }
@@ -168,15 +164,30 @@
 	e.speedAt = now
 }
 
-// fail notes whether a request failed.
-func (e *entity) fail(now time.Time, failed bool) {
-	held := e.failingNow(now)
+// judge notes whether a request failed and whether it was refused.
+func (e *entity) judge(now time.Time, failed, refused bool) {
+	e.failing.add(now, failed)
+	e.refusing.add(now, refused)
+}
+
+// average is a share of recent requests that fades when nothing is observed.
+type average struct {
+	value float64
+	noted time.Time
+}
+
+func (a *average) at(now time.Time) float64 {
+	return a.value * decay(now.Sub(a.noted), forgetFailing)
+}
+
+func (a *average) add(now time.Time, hit bool) {
 	target := 0.0
-	if failed {
+	if hit {
 		target = 1
 	}
-	e.failing = held + gain*(target-held)
-	e.failingAt = now
+	held := a.at(now)
+	a.value = held + gain*(target-held)
+	a.noted = now
 }
 
 // down notes that the upstream could not be reached.
