--- a/internal/driftgossip/gossip.go
+++ b/internal/driftgossip/gossip.go
@@ -49,6 +49,9 @@
 	// datagramEntries bounds the entries of one datagram, which keeps it
 	// within one packet.
 	datagramEntries = 12
+	// introduced is the number of entries while all VMs hear of each other
+	// directly.
+	introduced = 1
 	// maxDatagram is the largest datagram that is read, in bytes.
 	maxDatagram = 4096
 	// readerBound is how many VMs read the platform for all. Two in
@@ -310,11 +313,16 @@
 // milliseconds.
 const unconfirmed = 1 << 30
 
-// entries returns what to tell of other VMs: a random few.
+// entries returns what to tell of other VMs: a random few. While every VM can
+// be reached in a round, one is enough, to introduce VMs to each other.
 func (f *Fleet) entries(alive []Member) []*driftgossippb.Entry {
 	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	entries := make([]*driftgossippb.Entry, 0, datagramEntries)
-	for _, m := range alive[:min(len(alive), datagramEntries)] {
+	bound := datagramEntries
+	if len(alive) <= nearTargets+farTargets {
+		bound = introduced
+	}
+	entries := make([]*driftgossippb.Entry, 0, bound)
+	for _, m := range alive[:min(len(alive), bound)] {
 		entries = append(entries, &driftgossippb.Entry{
 			Name: m.Name, Domain: m.Domain, Address: m.Address, Boot: m.Boot, Beat: m.Beat,
 			Leaving: m.Leaving, Ready: m.Ready, Blind: m.Blind, Revision: m.Revision, Age: unconfirmed,
--- a/internal/driftrelay/place.go
+++ b/internal/driftrelay/place.go
@@ -34,13 +34,13 @@
 const (
 	// farCost is what bytes between failure domains and the longer way are
 	// worth, in latency.
-	farCost = 4 * time.Millisecond
+	farCost = 30 * time.Millisecond
 	// openCost is the usual time to open a connection.
 	openCost = 6 * time.Millisecond
-	// refusalCost is what a certain refusal costs, in latency objectives. It
-	// comes at once, but takes an extra send from the budget, and requests
-	// whose budget is spent fail.
-	refusalCost = 5
+	// failureCost is what a certain failure or refusal costs, in latency
+	// objectives. Even one that comes at once takes an extra send from the
+	// budget, and requests whose budget is spent fail.
+	failureCost = 5
 	// leavingCost puts upstreams that leave behind all others.
 	leavingCost = 10 * time.Second
 )
@@ -57,7 +57,7 @@
 		cost += work * time.Duration(waiting) / time.Duration(max(1, f.Slots))
 	}
 	cost += max(f.Stalled, f.Suspected)
-	cost += time.Duration((f.Failing + refusalCost*f.Refusing) * float64(f.Aim))
+	cost += time.Duration((failureCost * (f.Failing + f.Refusing)) * float64(f.Aim))
 	if f.Open {
 		cost += openCost
 	}
