--- a/internal/driftrelay/place.go
+++ b/internal/driftrelay/place.go
@@ -32,9 +32,9 @@
 
 // Costs of a placement, expressed as time.
 const (
-	// farCost is what bytes between failure domains and the longer way are
-	// worth, in latency.
-	farCost = 30 * time.Millisecond
+	// farCost is what the way to another failure domain and the bytes between
+	// domains are worth, in latency.
+	farCost = 20 * time.Millisecond
 	// openCost is the usual time to open a connection.
 	openCost = 6 * time.Millisecond
 	// failureCost is what a certain failure or refusal costs, in latency
