Divide connections by who turns to an upstream first; avoid refusers more at the last attempt

Cause: VMs whose own domain has no replica of a shard held one connection to each far replica, and waited for it until the deadline; and with one healthy replica of three, a second refusal lost the shard although budget was left. Change: domains without a replica count as near for all of them, what the weights leave over is given out by rank; failures cost four objectives, ten when no attempt is left.

--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -18,53 +18,53 @@
 	Domain string
 }
 
-// nearWeight is how many more connections a VM in an upstream's own failure
-// domain gets than others, since it is the first to use the upstream.
-const nearWeight = 3
+// Weights by which the connections of an upstream are divided among VMs.
+const (
+	// nearWeight is for VMs that turn to the upstream first: those in its
+	// failure domain, and those whose domain has no upstream of the service.
+	nearWeight = 2
+	farWeight  = 1
+)
 
 // share returns how many connections this VM may hold to an upstream that
-// accepts total of all VMs together. The shares of all VMs never exceed the
-// total: where there are fewer connections than VMs, those that rank first
-// get one each.
-func share(total int, domain, upstream string, self VM, others []VM) int {
-	near, far := 0, 0
-	for _, vm := range append(others, self) {
-		if vm.Domain == domain {
-			near++
-			continue
-		}
-		far++
-	}
-	weights := nearWeight*near + far
-	farShare := total / max(1, weights)
-	nearShare := nearWeight * total / max(1, weights)
-	if near > 0 {
-		nearShare = min(nearShare, (total-farShare*far)/near)
-	}
-	isNear := self.Domain == domain
-	if isNear && nearShare > 0 {
-		return nearShare
+// accepts total of all VMs together. Near tells whether the VMs of a failure
+// domain turn to the upstream first. The shares of all VMs never exceed the
+// total: what the weights leave over goes to those that rank first, and where
+// there are fewer connections than VMs, only they get one.
+func share(total int, upstream string, near func(domain string) bool, self VM, others []VM) int {
+	weights := weightOf(near, self)
+	for _, vm := range others {
+		weights += weightOf(near, vm)
 	}
-	if !isNear && farShare > 0 {
-		return farShare
+	mine := total * weightOf(near, self) / weights
+	left := total - mine
+	for _, vm := range others {
+		left -= total * weightOf(near, vm) / weights
 	}
-	left := total - nearShare*near
-	if isNear {
-		left = total
+	if rank(upstream, near, self, others) < left {
+		mine++
 	}
-	if rank(upstream, self, others, domain) < left {
-		return 1
+	return mine
+}
+
+func weightOf(near func(domain string) bool, vm VM) int {
+	if near(vm.Domain) {
+		return nearWeight
 	}
-	return 0
+	return farWeight
 }
 
-// rank returns the place of this VM among those that are, like it, inside or
-// outside the domain, in an order that all VMs agree on.
-func rank(upstream string, self VM, others []VM, domain string) int {
+// rank returns the place of this VM in an order that all VMs agree on, in
+// which those that turn to the upstream first come first.
+func rank(upstream string, near func(domain string) bool, self VM, others []VM) int {
 	mine := xxhash.Sum64String(upstream + "/" + self.Name)
 	place := 0
 	for _, vm := range others {
-		if (vm.Domain == domain) == (self.Domain == domain) && xxhash.Sum64String(upstream+"/"+vm.Name) < mine {
+		before := xxhash.Sum64String(upstream+"/"+vm.Name) < mine
+		if near(vm.Domain) != near(self.Domain) {
+			before = near(vm.Domain)
+		}
+		if before {
 			place++
 		}
 	}
@@ -185,7 +185,7 @@
 
 // place chooses the upstream of a service for a request, leaving out those
 // that were tried. The caller holds the lock.
-func (r *Relay) place(service string, tried []*entity, typical, aim time.Duration, now time.Time) (best choice, ok bool) {
+func (r *Relay) place(service string, tried []*entity, w want, now time.Time) (best choice, ok bool) {
 	published, known := r.table.Service(service)
 	if !known {
 		return best, false
@@ -195,14 +195,13 @@
 		if slices.Contains(tried, e) || !e.usable(now, out) {
 			continue
 		}
-		limit := share(int(connPart*float64(published.Conns)), e.Domain, e.ID, r.self, r.others)
-		if len(e.idle) == 0 && e.open >= limit {
+		if len(e.idle) == 0 && e.open >= r.connShare(e, published.Conns) {
 			continue
 		}
 		if !e.coldRoom(now, published.ColdRate/float64(1+len(r.others))) {
 			continue
 		}
-		cost := Estimate(e.facts(now, typical, aim, r.self.Domain, !out.IsZero())) + rand.N(jitter)
+		cost := Estimate(e.facts(now, w, r.self.Domain, !out.IsZero())) + rand.N(jitter)
 		if !ok || cost < best.cost {
 			best, ok = choice{entity: e, cost: cost}, true
 		}
@@ -210,6 +209,17 @@
 	return best, ok
 }
 
+// connShare returns how many connections this VM may hold to the upstream. The
+// caller holds the lock.
+func (r *Relay) connShare(e *entity, conns int) int {
+	homes := make(map[string]bool)
+	for _, other := range r.services[e.Service] {
+		homes[other.Domain] = true
+	}
+	near := func(domain string) bool { return domain == e.Domain || !homes[domain] }
+	return share(int(connPart*float64(conns)), e.ID, near, r.self, r.others)
+}
+
 // freshIdle is the longest idle time of a connection that carries a request
 // that may run once only: an upstream may have forgotten an older one.
 const freshIdle = 300 * time.Millisecond
--- a/internal/driftrelay/place.go
+++ b/internal/driftrelay/place.go
@@ -20,6 +20,8 @@
 	Failing float64
 	// Refusing is the share of recent requests that were refused at once.
 	Refusing float64
+	// Last is set if no other upstream may be tried after this one.
+	Last bool
 	// Aim is the latency objective of the class.
 	Aim time.Duration
 	// Open is set if a connection has to be opened first.
@@ -40,7 +42,9 @@
 	// failureCost is what a certain failure or refusal costs, in latency
 	// objectives. Even one that comes at once takes an extra send from the
 	// budget, and requests whose budget is spent fail.
-	failureCost = 5
+	failureCost = 4.0
+	// lastFailureCost is the same when no attempt is left after this one.
+	lastFailureCost = 10.0
 	// leavingCost puts upstreams that leave behind all others.
 	leavingCost = 10 * time.Second
 )
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -151,7 +151,10 @@
 	r := s.relay
 	r.mu.Lock()
 	typical := r.typical(s.query.Route)
-	best, ok := r.place(l.service, l.tried, typical, s.query.Route.Aim, now)
+	best, ok := r.place(l.service, l.tried, want{
+		typical: typical, aim: s.query.Route.Aim,
+		last: !s.query.Route.Repeat || l.sent+len(l.flights)+1 >= s.query.Route.Attempts,
+	}, now)
 	if !ok {
 		l.waits = r.anyUsable(l.service, l.tried, now)
 		l.over = !l.waits && len(l.flights) == 0
--- a/internal/driftrelay/upstream.go
+++ b/internal/driftrelay/upstream.go
@@ -131,11 +131,19 @@
 	}
 }
 
+// want is what a request needs of an upstream.
+type want struct {
+	typical time.Duration
+	aim     time.Duration
+	// last is set if no other upstream may be tried after this one.
+	last bool
+}
+
 // facts returns what speaks for and against the upstream.
-func (e *entity) facts(now time.Time, typical, aim time.Duration, domain string, out bool) Facts {
+func (e *entity) facts(now time.Time, w want, domain string, out bool) Facts {
 	f := Facts{
-		Typical: typical, Speed: e.speedNow(now), Slots: e.Slots, Ahead: len(e.flights),
-		Suspected: max(0, e.suspectTo.Sub(now)), Failing: e.failing.at(now), Refusing: e.refusing.at(now), Aim: aim,
+		Typical: w.typical, Speed: e.speedNow(now), Slots: e.Slots, Ahead: len(e.flights),
+		Suspected: max(0, e.suspectTo.Sub(now)), Failing: e.failing.at(now), Refusing: e.refusing.at(now), Aim: w.aim, Last: w.last,
 		Open: len(e.idle) == 0, Far: e.Domain != domain,
 		Leaving: !e.leavingAt.IsZero() || !e.goneAt.IsZero() || out,
 	}
