--- a/internal/driftrelay/place.go
+++ b/internal/driftrelay/place.go
@@ -61,7 +61,11 @@
 		cost += work * time.Duration(waiting) / time.Duration(max(1, f.Slots))
 	}
 	cost += max(f.Stalled, f.Suspected)
-	cost += time.Duration((failureCost * (f.Failing + f.Refusing)) * float64(f.Aim))
+	failure := failureCost
+	if f.Last {
+		failure = lastFailureCost
+	}
+	cost += time.Duration(failure * (f.Failing + f.Refusing) * float64(f.Aim))
 	if f.Open {
 		cost += openCost
 	}
