--- a/internal/driftexchange/conn.go
+++ b/internal/driftexchange/conn.go
@@ -214,7 +214,7 @@
 	if err != nil {
 		return reply, false, err
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReply+1))
 	if err != nil {
 		return reply, false, err
--- a/internal/driftgossip/call.go
+++ b/internal/driftgossip/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -19,11 +18,11 @@
 // TwirpCaller asks other VMs by Twirp.
 type TwirpCaller struct {
 	client *http.Client
-	port   int
+	port   string
 }
 
 // NewTwirpCaller returns a caller that reaches every VM at the given port.
-func NewTwirpCaller(port int) *TwirpCaller {
+func NewTwirpCaller(port string) *TwirpCaller {
 	transport := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: changesTimeout}).DialContext}
 	return &TwirpCaller{client: &http.Client{Transport: transport, Timeout: changesTimeout}, port: port}
 }
@@ -35,7 +34,7 @@
 	if err != nil {
 		return c, err
 	}
-	base := "http://" + net.JoinHostPort(host, strconv.Itoa(t.port))
+	base := "http://" + net.JoinHostPort(host, t.port)
 	client := driftgossippb.NewGossipProtobufClient(base, t.client)
 	asked := time.Now()
 	reply, err := client.Changes(ctx, &driftgossippb.ChangesRequest{After: after})
--- a/internal/driftgossip/member.go
+++ b/internal/driftgossip/member.go
@@ -46,18 +46,17 @@
 	return &table{members: make(map[string]Member)}
 }
 
-// merge takes an entry over if it is news, and reports whether it is.
-func (t *table) merge(e *driftgossippb.Entry, now time.Time) bool {
+// merge takes an entry over if it is news.
+func (t *table) merge(e *driftgossippb.Entry, now time.Time) {
 	held, ok := t.members[e.GetName()]
 	if ok && !newer(held, e, now) {
-		return false
+		return
 	}
 	t.members[e.GetName()] = Member{
 		Name: e.GetName(), Domain: e.GetDomain(), Address: e.GetAddress(),
 		Boot: e.GetBoot(), Beat: e.GetBeat(), Leaving: e.GetLeaving(),
 		Ready: e.GetReady(), Blind: e.GetBlind(), Revision: e.GetRevision(), Seen: now,
 	}
-	return true
 }
 
 // newer reports whether an entry is newer than what is held. An incarnation
--- /dev/null
+++ b/internal/driftrelay/metric.go
@@ -0,0 +1,54 @@
+package driftrelay
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics counts what a relay does.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	sends    *prometheus.CounterVec
+}
+
+// latencyBuckets are the bounds of the latency histogram, in seconds.
+var latencyBuckets = []float64{.005, .01, .02, .035, .05, .075, .1, .15, .25, .4, .6, 1, 2, 4}
+
+// NewMetrics returns metrics that are registered at the registerer.
+func NewMetrics(registerer prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "drift_requests_total", Help: "Requests by route and cause of the answer.",
+		}, []string{"route", "cause"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "drift_latency_seconds", Help: "Time to the answer by route.", Buckets: latencyBuckets,
+		}, []string{"route"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "drift_sends_total", Help: "Sends by service: first, extra, and extra ones that the budget denied.",
+		}, []string{"service", "kind"}),
+	}
+	registerer.MustRegister(m.requests, m.latency, m.sends)
+	return m
+}
+
+// Kinds of sends.
+const (
+	sendFirst  = "first"
+	sendExtra  = "extra"
+	sendDenied = "denied"
+)
+
+func (m *Metrics) send(service, kind string) {
+	if m != nil {
+		m.sends.WithLabelValues(service, kind).Inc()
+	}
+}
+
+func (m *Metrics) answer(route string, cause Cause, took time.Duration) {
+	if m != nil {
+		m.requests.WithLabelValues(route, string(cause)).Inc()
+		m.latency.WithLabelValues(route).Observe(took.Seconds())
+	}
+}
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -38,6 +39,7 @@
 	fresh   func() bool
 	spread  *driftroute.Spread
 	started time.Time
+	metrics *Metrics
 
 	mu        sync.Mutex
 	table     *driftroute.Table
@@ -63,6 +65,11 @@
 	return func(r *Relay) { r.events, r.checker = events, checker }
 }
 
+// WithMetrics sets the metrics that count the relay's work.
+func WithMetrics(m *Metrics) Option {
+	return func(r *Relay) { r.metrics = m }
+}
+
 // WithTell calls the function when an upstream does not answer, to tell other
 // VMs.
 func WithTell(tell func(upstream string, span time.Duration)) Option {
@@ -179,16 +186,13 @@
 	r.mu.Unlock()
 	switch {
 	case full:
-		return refuse(CauseFull, retryFull)
+		return r.refuseUnrouted(request, CauseFull, retryFull)
 	case table == nil:
-		return refuse(CauseNoConfig, retrySoon)
+		return r.refuseUnrouted(request, CauseNoConfig, retrySoon)
 	}
 	route, ok := table.Find(request.Host, path)
-	if !ok && !r.fresh() {
-		return refuse(CauseStale, retrySoon)
-	}
 	if !ok {
-		return Answer{Status: http.StatusNotFound, Cause: CauseNoRoute}
+		return r.noRoute(request, path, table.Config.Version)
 	}
 	limit := route.Timeout
 	if wait > 0 && (limit <= 0 || wait < limit) {
@@ -198,6 +202,27 @@
 	return newScatter(r, q).run(ctx)
 }
 
+// noRoute answers a request that no route matches. A view that is not recent
+// may lack the route, so that the caller is asked to come back.
+func (r *Relay) noRoute(request *driftexchange.Request, path string, version int64) Answer {
+	if !r.fresh() {
+		return r.refuseUnrouted(request, CauseStale, retrySoon)
+	}
+	r.metrics.answer("", CauseNoRoute, 0)
+	r.events.Record(driftevent.RequestFailed, request.ID, request.Host+path,
+		fmt.Sprintf("%s status %d, version %d", CauseNoRoute, http.StatusNotFound, version))
+	return Answer{Status: http.StatusNotFound, Cause: CauseNoRoute}
+}
+
+// refuseUnrouted refuses a request before its route is known.
+func (r *Relay) refuseUnrouted(request *driftexchange.Request, cause Cause, retry time.Duration) Answer {
+	r.metrics.answer("", cause, 0)
+	answer := refuse(cause, retry)
+	r.events.Record(driftevent.RequestFailed, request.ID, request.Host,
+		fmt.Sprintf("%s status %d", cause, answer.Status))
+	return answer
+}
+
 // budgetShare returns this VM's share of the budgets. The caller holds the
 // lock.
 func (r *Relay) budgetShare(now time.Time) Share {
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -128,6 +128,7 @@
 	r.mu.Lock()
 	for _, l := range s.legs {
 		r.budget(l.service).Request(now, r.rule)
+		r.metrics.send(l.service, sendFirst)
 	}
 	r.mu.Unlock()
 	for _, l := range s.legs {
@@ -251,9 +252,11 @@
 	defer r.mu.Unlock()
 	if !r.budget(l.service).Spend(now, r.rule, r.budgetShare(now), need) {
 		s.denied++
+		r.metrics.send(l.service, sendDenied)
 		return false
 	}
 	s.extras++
+	r.metrics.send(l.service, sendExtra)
 	return true
 }
 
@@ -343,21 +346,23 @@
 	if s.gather != nil {
 		return s.settleGather(now, soft)
 	}
-	l := s.legs[0]
+	return s.settleOne(s.legs[0], !now.Before(s.query.End))
+}
+
+// settleOne settles a query that goes to one upstream.
+func (s *scatter) settleOne(l *leg, late bool) (Answer, bool) {
 	switch {
 	case l.part != nil:
 		return s.pass(*l.part), true
 	case l.over && l.failure != nil:
 		return s.pass(*l.failure), true
-	case l.over && l.ran:
-		return Answer{Status: http.StatusBadGateway, Cause: CauseUnknown}, true
-	case l.over && s.refused > 0:
+	case (l.over || late) && !l.ran && l.sent == 0 && !anySent(l):
+		return s.notRun(CauseNowhere), true
+	case l.over && !l.ran:
 		return s.notRun(CauseRefused), true
 	case l.over:
-		return s.notRun(CauseNowhere), true
-	case !now.Before(s.query.End) && !l.ran && l.sent == 0 && !anySent(l):
-		return s.notRun(CauseTimeout), true
-	case !now.Before(s.query.End):
+		return Answer{Status: http.StatusBadGateway, Cause: CauseUnknown}, true
+	case late:
 		return Answer{Status: http.StatusGatewayTimeout, Cause: CauseTimeout}, true
 	default:
 		return Answer{}, false
@@ -455,6 +460,7 @@
 // close records what became of the query.
 func (s *scatter) close(a Answer) Answer {
 	q := s.query
+	s.relay.metrics.answer(q.Route.Name, a.Cause, time.Since(q.Arrived))
 	code := driftevent.RequestServed
 	if a.Cause != CauseServed {
 		code = driftevent.RequestFailed
--- a/internal/driftstate/replica.go
+++ b/internal/driftstate/replica.go
@@ -55,8 +55,6 @@
 	confirmed time.Time
 	// floor is the newest revision whose tombstone was dropped.
 	floor int64
-	// recovered is when the platform last answered after a gap.
-	recovered time.Time
 }
 
 // NewReplica returns a replica that holds nothing.
