--- a/internal/driftexchange/conn.go
+++ b/internal/driftexchange/conn.go
@@ -55,11 +55,19 @@
 	written bool
 }
 
+// Dialer opens the network connection to an address.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP is the Dialer of production.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp4", address)
+}
+
 // Dial opens a connection.
-func Dial(ctx context.Context, address string, h Headers) (c *Conn, err error) {
+func Dial(ctx context.Context, dial Dialer, address string, h Headers) (c *Conn, err error) {
 	defer errors.DeferredAnnotatef(&err, "upstream at %s", address)
-	dialer := net.Dialer{KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	conn, err := dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/driftexchange/exchange.go
+++ b/internal/driftexchange/exchange.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	conn, err := driftexchange.Dial(ctx, "10.128.0.9:8080", headers)
+//	conn, err := driftexchange.Dial(ctx, driftexchange.DialTCP, "10.128.0.9:8080", headers)
 //	conn.Send(request, deadline, func(result driftexchange.Result) {
 //		switch result := result.(type) {
 //		case driftexchange.Done:
--- /dev/null
+++ b/internal/driftrelay/decision_test.go
@@ -0,0 +1,159 @@
+package driftrelay
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+// TestMergeTop compares with sorting all records.
+func TestMergeTop(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := rapid.SliceOfN(rapid.SliceOfN(rapid.ByteRange(0, 3), 0, 100), 0, 6).Draw(t, "parts")
+		top := rapid.IntRange(0, 12).Draw(t, "top")
+		var records [][]byte
+		for _, part := range parts {
+			for chunk := range slices.Chunk(part, recordSize) {
+				if len(chunk) == recordSize {
+					records = append(records, chunk)
+				}
+			}
+		}
+		slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
+		want := bytes.Join(records[:min(top, len(records))], nil)
+		assert.True(t, bytes.Equal(want, MergeTop(parts, top)))
+	})
+}
+
+func TestEnough(t *testing.T) {
+	for _, c := range []struct {
+		shards int
+		least  float64
+		spare  int
+	}{{10, 0.89, 1}, {10, 0.75, 2}, {15, 0.89, 1}, {36, 0.95, 1}, {54, 0.85, 8}, {10, 0.9, 1}, {1, 0.5, 0}, {3, 0, 2}} {
+		t.Run(fmt.Sprintf("%d of %v", c.shards, c.least), func(t *testing.T) {
+			assert.Equal(t, c.spare, Spare(c.shards, c.least))
+			assert.True(t, Enough(c.shards-c.spare, c.shards, c.least))
+			assert.False(t, Enough(c.shards-c.spare-1, c.shards, c.least))
+		})
+	}
+}
+
+// TestShare holds that the connections of all VMs never exceed what an
+// upstream accepts, under any membership.
+func TestShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		domains := rapid.IntRange(1, 5).Draw(t, "domains")
+		count := rapid.IntRange(1, 90).Draw(t, "vms")
+		total := rapid.IntRange(0, 530).Draw(t, "conns")
+		vms := make([]VM, count)
+		for i := range vms {
+			vms[i] = VM{Name: fmt.Sprintf("vm-%d", i), Domain: fmt.Sprintf("d%d", i%domains)}
+		}
+		near := func(domain string) bool { return domain == "d0" }
+		sum := 0
+		for i, self := range vms {
+			others := slices.Concat(vms[:i], vms[i+1:])
+			sum += share(total, "u", near, self, others)
+		}
+		assert.Equal(t, total, sum)
+	})
+}
+
+// TestBudget holds the published bound: extra sends of all VMs in any window
+// stay within the ratio of the requests and the fixed share, at the highest
+// need and while VMs start again.
+func TestBudget(t *testing.T) {
+	const vms = 8
+	rule := DefaultBudget()
+	start := time.Now()
+	budgets := make([]Budget, vms)
+	young := make([]bool, vms)
+	var requests, extras []time.Time
+	for step := range 30000 {
+		now := start.Add(time.Duration(step) * time.Millisecond)
+		vm := step % vms
+		if step == 15000 {
+			budgets = make([]Budget, vms)
+			for i := range young {
+				young[i] = true
+			}
+		}
+		if step%10 < 3 {
+			budgets[vm].Request(now, rule)
+			requests = append(requests, now)
+		}
+		if budgets[vm].Spend(now, rule, Share{VMs: vms, Young: young[vm]}, NeedAnswer) {
+			extras = append(extras, now)
+		}
+	}
+	assert.NotEmpty(t, extras)
+	for end := rule.Window; end <= 30*time.Second; end += 100 * time.Millisecond {
+		from, to := start.Add(end-rule.Window), start.Add(end)
+		bound := rule.Ratio*float64(within(requests, from, to)) + rule.Extra
+		assert.LessOrEqual(t, float64(within(extras, from, to)), bound, "window ending at %s", end)
+	}
+}
+
+func within(times []time.Time, from, to time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(from) && !at.After(to) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestNeeds(t *testing.T) {
+	ranked := []Need{NeedOf(true, false), NeedOf(false, false), NeedOf(true, true), NeedOf(false, true)}
+	assert.True(t, slices.IsSortedFunc(ranked, func(a, b Need) int {
+		if a > b {
+			return -1
+		}
+		return 1
+	}))
+	assert.LessOrEqual(t, float64(ranked[0]), 1.0)
+}
+
+func TestEstimate(t *testing.T) {
+	base := Facts{Typical: 10 * time.Millisecond, Speed: 1, Slots: 4, Aim: 100 * time.Millisecond}
+	worse := []struct {
+		name   string
+		change func(*Facts)
+	}{
+		{"slow", func(f *Facts) { f.Speed = 10 }},
+		{"full", func(f *Facts) { f.Ahead = 12 }},
+		{"stalled", func(f *Facts) { f.Stalled = 50 * time.Millisecond }},
+		{"suspected", func(f *Facts) { f.Suspected = 100 * time.Millisecond }},
+		{"failing", func(f *Facts) { f.Failing = 0.4 }},
+		{"refusing", func(f *Facts) { f.Refusing = 0.4 }},
+		{"leaving", func(f *Facts) { f.Leaving = true }},
+	}
+	far := base
+	far.Far = true
+	for _, c := range worse {
+		t.Run(c.name, func(t *testing.T) {
+			f := base
+			c.change(&f)
+			assert.Greater(t, Estimate(f), Estimate(far), "another failure domain is better than this")
+		})
+	}
+	t.Run("far", func(t *testing.T) { assert.Greater(t, Estimate(far), Estimate(base)) })
+}
+
+func TestTimes(t *testing.T) {
+	for _, aim := range []time.Duration{50, 60, 100, 150, 600} {
+		aim *= time.Millisecond
+		t.Run(aim.String(), func(t *testing.T) {
+			assert.Less(t, AnswerAt(aim), aim)
+			assert.LessOrEqual(t, HedgeDelay(aim, aim/10), aim/4)
+			assert.Greater(t, HedgeDelay(aim, aim/2), aim/2)
+		})
+	}
+}
--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -253,7 +253,7 @@
 func (r *Relay) dial(ctx context.Context, e *entity) (*driftexchange.Conn, error) {
 	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	c, err := driftexchange.Dial(bounded, e.Address, r.headers)
+	c, err := driftexchange.Dial(bounded, r.dialer, e.Address, r.headers)
 	if err != nil {
 		r.mu.Lock()
 		e.open--
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -40,6 +40,7 @@
 	spread  *driftroute.Spread
 	started time.Time
 	metrics *Metrics
+	dialer  driftexchange.Dialer
 
 	mu        sync.Mutex
 	table     *driftroute.Table
@@ -70,6 +71,11 @@
 	return func(r *Relay) { r.metrics = m }
 }
 
+// WithDialer sets how connections are opened. The default is TCP.
+func WithDialer(dialer driftexchange.Dialer) Option {
+	return func(r *Relay) { r.dialer = dialer }
+}
+
 // WithTell calls the function when an upstream does not answer, to tell other
 // VMs.
 func WithTell(tell func(upstream string, span time.Duration)) Option {
@@ -92,7 +98,8 @@
 	events := driftevent.NewLog(self.Name, 0)
 	r := &Relay{
 		self: self, headers: headers, rule: DefaultBudget(), events: events,
-		checker: driftcheck.NewChecker(events), spread: driftroute.NewSpread(), started: time.Now(),
+		checker: driftcheck.NewChecker(events), dialer: driftexchange.DialTCP,
+		spread: driftroute.NewSpread(), started: time.Now(),
 		tell: func(string, time.Duration) {}, fresh: func() bool { return true },
 		upstreams: make(map[string]*entity), services: make(map[string][]*entity),
 		out: make(map[string]time.Time), budgets: make(map[string]*Budget),
--- /dev/null
+++ b/internal/driftrelay/relay_test.go
@@ -0,0 +1,193 @@
+package driftrelay
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/almonddrift/almonddrift/internal/driftcheck"
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftexchange"
+	"github.com/almonddrift/almonddrift/internal/driftroute"
+)
+
+// rush is the users' most urgent class: 6.7 ms of work, an objective of 60 ms.
+func rush() driftroute.Route {
+	return driftroute.Route{
+		Name: "rush", Host: "h", Prefix: "/rush/", Repeat: true, Attempts: 2,
+		Timeout: 400 * time.Millisecond, Aim: 60 * time.Millisecond,
+		Target: driftroute.Gather{Top: 5, Least: 0.75, Shards: make([]string, 10)},
+	}
+}
+
+const rushWork = 6700 * time.Microsecond
+
+// once is a class whose requests may run once only.
+func once() driftroute.Route {
+	return driftroute.Route{
+		Name: "once", Host: "h", Prefix: "/once/", Attempts: 2,
+		Timeout: 4 * time.Second, Aim: 600 * time.Millisecond, Target: driftroute.Single{},
+	}
+}
+
+// TestPauses replays upstreams that pause for 200 ms every 4.5 s, each at its
+// own time. The users ask for 97% in time on a quiet day.
+func TestPauses(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(10, 4, rushWork, rush())
+		w.each(func(_ int, s *standIn) { s.pause, s.pauseEvery = 200*time.Millisecond, 4500*time.Millisecond })
+		r := w.relay()
+		assertInAim(t, drive(r, rush(), 600, 40*time.Millisecond), 0.97)
+		closeAll(r)
+	})
+}
+
+// TestRefusals replays two of three upstreams of each shard that refuse 60%
+// of their requests, as on a standard day of Tacada. The users ask for 0.75 in
+// the worst windows.
+func TestRefusals(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(10, 2, rushWork, rush())
+		w.each(func(i int, s *standIn) {
+			if i%testDomains != testDomains-1 {
+				s.refuse = 0.6
+			}
+		})
+		r := w.relay()
+		l := drive(r, rush(), 2000, 8*time.Millisecond)
+		assertInAim(t, l, 0.75)
+		assert.GreaterOrEqual(t, l.credit, 0.75*float64(l.total))
+		closeAll(r)
+	})
+}
+
+// TestLostAnswers replays a third of the upstreams losing 40% of the answers
+// after they ran the request.
+func TestLostAnswers(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(10, 4, rushWork, rush())
+		w.each(func(i int, s *standIn) {
+			if i%testDomains == 0 {
+				s.lose = 0.4
+			}
+		})
+		r := w.relay()
+		assertInAim(t, drive(r, rush(), 400, 40*time.Millisecond), 0.75)
+		closeAll(r)
+	})
+}
+
+// TestShardDown answers from the other shards before the objective while all
+// upstreams of one are dark.
+func TestShardDown(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(10, 4, rushWork, rush())
+		w.each(func(i int, s *standIn) { s.dark = i < testDomains })
+		r := w.relay()
+		assertInAim(t, drive(r, rush(), 100, 40*time.Millisecond), 0.97)
+		closeAll(r)
+	})
+}
+
+// TestRunsOnce holds what a hunted day broke (Oshana, trouble-3 with seed
+// 815027833324): one upstream leaves the connection hanging, the request is
+// sent to another one, which runs it and loses the answer, and the third must
+// not get it.
+func TestRunsOnce(t *testing.T) {
+	for first := range testDomains {
+		inBubble(t, func(t *testing.T) {
+			w := newWorld(1, 2, 160*time.Millisecond, once())
+			w.each(func(i int, s *standIn) {
+				s.lose = 1
+				s.dark = i == first
+			})
+			events := driftevent.NewLog("vm-0", 1)
+			checker := driftcheck.NewChecker(events)
+			r := w.relay(WithChecks(events, checker))
+			for range 20 {
+				a := r.Serve(context.Background(), &driftexchange.Request{
+					ID: "q", Method: http.MethodPost, Target: "/once/", Host: "h",
+				}, "/once/", time.Now(), 0)
+				assertOnce(t, w, a)
+				time.Sleep(5 * time.Second)
+			}
+			closeAll(r)
+		})
+	}
+}
+
+// assertOnce asserts that the newest request ran once at most, that its
+// answer does not deny that it ran, and forgets it.
+func assertOnce(t *testing.T, w *world, a Answer) {
+	t.Helper()
+	runs := 0
+	w.each(func(_ int, s *standIn) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		runs += s.runs["q"]
+		delete(s.runs, "q")
+	})
+	assert.LessOrEqual(t, runs, 1)
+	if runs > 0 {
+		assert.NotContains(t, []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}, a.Status)
+	}
+}
+
+// TestConnections holds the bound on connections while upstreams stand still
+// and queries pile up.
+func TestConnections(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(10, 4, rushWork, rush())
+		w.each(func(_ int, s *standIn) { s.speed = 30 })
+		r := w.relay()
+		_ = drive(r, rush(), 200, 5*time.Millisecond)
+		w.each(func(_ int, s *standIn) {
+			assert.LessOrEqual(t, s.mostConns, testConns/2, s.name)
+		})
+		closeAll(r)
+	})
+}
+
+// TestLeft frees the upstreams of a caller that has left.
+func TestLeft(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(10, 4, rushWork, rush())
+		w.each(func(_ int, s *standIn) { s.speed = 60 })
+		r := w.relay()
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+		defer cancel()
+		a := r.Serve(ctx, &driftexchange.Request{ID: "q", Method: http.MethodGet, Target: "/rush/", Host: "h"},
+			"/rush/", time.Now(), 0)
+		assert.Equal(t, CauseLeft, a.Cause)
+		time.Sleep(500 * time.Millisecond)
+		w.each(func(_ int, s *standIn) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			assert.Zero(t, s.conns, s.name)
+		})
+		closeAll(r)
+	})
+}
+
+func TestUnrouted(t *testing.T) {
+	request := &driftexchange.Request{ID: "q", Method: http.MethodGet, Target: "/none/", Host: "h"}
+	serve := func(r *Relay) Answer {
+		return r.Serve(context.Background(), request, "/none/", time.Now(), 0)
+	}
+	t.Run("no configuration", func(t *testing.T) {
+		a := serve(New(VM{Name: "vm"}, testHeaders))
+		assert.Equal(t, http.StatusServiceUnavailable, a.Status)
+		assert.Positive(t, a.Retry)
+	})
+	w := newWorld(1, 1, time.Millisecond, rush())
+	t.Run("fresh view", func(t *testing.T) {
+		assert.Equal(t, http.StatusNotFound, serve(w.relay()).Status)
+	})
+	t.Run("old view", func(t *testing.T) {
+		a := serve(w.relay(WithFresh(func() bool { return false })))
+		assert.Equal(t, http.StatusServiceUnavailable, a.Status)
+	})
+}
--- /dev/null
+++ b/internal/driftrelay/world_test.go
@@ -0,0 +1,282 @@
+package driftrelay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/almonddrift/almonddrift/internal/driftexchange"
+	"github.com/almonddrift/almonddrift/internal/driftroute"
+)
+
+// standIn is an upstream in virtual time, with the slots, queue, speed and
+// pauses that the users' sheets give.
+type standIn struct {
+	name       string
+	work       time.Duration
+	speed      float64
+	pause      time.Duration
+	pauseEvery time.Duration
+	phase      time.Duration
+	// refuse and lose are the shares of requests that are refused, and whose
+	// answer is lost after they ran.
+	refuse, lose float64
+	// dark leaves new connections hanging.
+	dark  bool
+	slots chan struct{}
+	seed  *rand.Rand
+
+	mu        sync.Mutex
+	runs      map[string]int
+	arrived   int
+	conns     int
+	mostConns int
+	cut       int
+}
+
+// world is a set of stand-ins by address.
+type world struct {
+	standIns map[string]*standIn
+	view     View
+}
+
+var testHeaders = driftexchange.Headers{
+	Request: "X-Id", Deadline: "X-Left", Expect: "X-Expect", Proof: "X-Proof", NotRun: "X-Not-Run",
+	Load: "X-Load", Parts: "X-Parts", Missing: "X-Missing",
+}
+
+const (
+	testDomains = 3
+	testConns   = 36
+	testSeed    = 1
+)
+
+// newWorld returns shards of three upstreams each, one in each domain.
+func newWorld(shards, slots int, work time.Duration, route driftroute.Route) *world {
+	w := &world{standIns: make(map[string]*standIn)}
+	seed := rand.New(rand.NewPCG(testSeed, testSeed))
+	var config driftroute.Config
+	var names []string
+	for shard := range shards {
+		service := fmt.Sprintf("shard-%d", shard)
+		names = append(names, service)
+		config.Services = append(config.Services, driftroute.Service{Name: service, Conns: testConns})
+		for domain := range testDomains {
+			address := fmt.Sprintf("10.%d.0.%d:80", domain, shard)
+			s := &standIn{
+				name: fmt.Sprintf("%s-%d", service, domain), work: work, speed: 0.8 + 0.5*seed.Float64(),
+				slots: make(chan struct{}, slots), runs: make(map[string]int),
+				phase: time.Duration(seed.Int64N(int64(5 * time.Second))),
+				seed:  rand.New(rand.NewPCG(testSeed, uint64(shard*testDomains+domain))),
+			}
+			w.standIns[address] = s
+			w.view.Upstreams = append(w.view.Upstreams, Upstream{
+				ID: s.name, Service: service, Address: address,
+				Domain: fmt.Sprintf("domain-%d", domain), Slots: slots,
+			})
+		}
+	}
+	switch target := route.Target.(type) {
+	case driftroute.Gather:
+		target.Shards = names
+		route.Target = target
+	default:
+		route.Target = driftroute.Single{Service: names[0]}
+	}
+	config.Version = 1
+	config.Routes = []driftroute.Route{route}
+	w.view.Table = driftroute.NewTable(config)
+	return w
+}
+
+// each calls the function for every stand-in, in the order of the view.
+func (w *world) each(visit func(i int, s *standIn)) {
+	for i, u := range w.view.Upstreams {
+		visit(i, w.standIns[u.Address])
+	}
+}
+
+// relay returns a relay in the first domain, among eight VMs.
+func (w *world) relay(opts ...Option) *Relay {
+	r := New(VM{Name: "vm-0", Domain: "domain-0"}, testHeaders, append([]Option{WithDialer(w.dial)}, opts...)...)
+	var others []VM
+	for i := 1; i < 8; i++ {
+		others = append(others, VM{Name: fmt.Sprintf("vm-%d", i), Domain: fmt.Sprintf("domain-%d", i%testDomains)})
+	}
+	r.SetVMs(others)
+	r.Update(w.view)
+	return r
+}
+
+func (w *world) dial(ctx context.Context, address string) (net.Conn, error) {
+	s, ok := w.standIns[address]
+	if !ok {
+		return nil, errors.NotFoundf("upstream at %s", address)
+	}
+	if s.dark {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	near, far := net.Pipe()
+	s.mu.Lock()
+	s.conns++
+	s.mostConns = max(s.mostConns, s.conns)
+	s.mu.Unlock()
+	go s.serve(far)
+	return &countedConn{Conn: near, standIn: s}, nil
+}
+
+// countedConn counts itself out at its stand-in when the relay closes it.
+type countedConn struct {
+	net.Conn
+	standIn *standIn
+	once    sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(func() {
+		c.standIn.mu.Lock()
+		defer c.standIn.mu.Unlock()
+		c.standIn.conns--
+	})
+	return c.Conn.Close()
+}
+
+func (s *standIn) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if !s.answer(conn, request.Header.Get(testHeaders.Request)) {
+			return
+		}
+	}
+}
+
+// answer runs one request, and reports whether the connection goes on.
+func (s *standIn) answer(conn net.Conn, id string) bool {
+	s.mu.Lock()
+	s.arrived++
+	refused := s.seed.Float64() < s.refuse
+	lost := s.seed.Float64() < s.lose
+	work := time.Duration(float64(s.work) * s.speed * (0.6 + 0.8*s.seed.Float64()))
+	s.mu.Unlock()
+	if refused {
+		return reply(conn, "503 Service Unavailable", testHeaders.NotRun+": 1\r\n", id, "")
+	}
+	s.slots <- struct{}{}
+	defer func() { <-s.slots }()
+	s.mu.Lock()
+	s.runs[id]++
+	s.mu.Unlock()
+	time.Sleep(work + s.paused())
+	if lost {
+		return false
+	}
+	ok := reply(conn, "200 OK", testHeaders.Proof+": "+s.name+"."+id+"\r\n", id, strings.Repeat("r", recordSize))
+	if !ok {
+		s.mu.Lock()
+		s.cut++
+		s.mu.Unlock()
+	}
+	return ok
+}
+
+// paused returns what is left of a pause.
+func (s *standIn) paused() time.Duration {
+	if s.pauseEvery == 0 {
+		return 0
+	}
+	into := time.Duration(time.Now().UnixNano()+int64(s.phase)) % s.pauseEvery
+	return max(0, s.pause-into)
+}
+
+func reply(conn net.Conn, status, headers, id, body string) bool {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		status, headers, testHeaders.Request, id, len(body), body)
+	return err == nil
+}
+
+// load is what became of the queries of a test.
+type load struct {
+	total, inAim int
+	credit       float64
+}
+
+// drive sends queries at a steady rate, and counts what was answered in time.
+func drive(r *Relay, route driftroute.Route, queries int, every time.Duration) load {
+	var result load
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for i := range queries {
+		group.Go(func() {
+			start := time.Now()
+			a := r.Serve(context.Background(), &driftexchange.Request{
+				ID: fmt.Sprintf("q%d", i), Method: http.MethodGet, Target: route.Prefix, Host: route.Host,
+			}, route.Prefix, start, 0)
+			mu.Lock()
+			defer mu.Unlock()
+			result.total++
+			if a.Status == http.StatusOK && time.Since(start) <= route.Aim {
+				result.inAim++
+				var missing int
+				_, _ = fmt.Sscan(a.Header.Get(testHeaders.Missing), &missing)
+				whole := 1.0
+				if g, ok := route.Target.(driftroute.Gather); ok && len(g.Shards) > 0 {
+					whole = 1 - float64(missing)/float64(len(g.Shards))
+				}
+				result.credit += whole * whole
+			}
+		})
+		time.Sleep(every)
+	}
+	group.Wait()
+	return result
+}
+
+func assertInAim(t *testing.T, l load, least float64) {
+	t.Helper()
+	share := float64(l.inAim) / float64(l.total)
+	t.Logf("seed %d: %.3f in time, credit %.3f of %d", testSeed, share, l.credit/float64(l.total), l.total)
+	assert.GreaterOrEqual(t, share, least)
+}
+
+// inBubble runs the test in virtual time and ends its connections.
+func inBubble(t *testing.T, run func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		run(t)
+	})
+}
+
+// closeAll ends the idle connections of a relay, so that no goroutine stays.
+func closeAll(r *Relay) {
+	time.Sleep(10 * time.Second)
+	r.mu.Lock()
+	var conns []*driftexchange.Conn
+	for _, e := range r.upstreams {
+		conns = append(conns, e.idle...)
+	}
+	r.mu.Unlock()
+	for _, c := range conns {
+		c.Close()
+	}
+	synctest.Wait()
+}
