Ask for everything what a full list may have removed; test state, exchange, gossip and the adapter

Cause: a replica that had taken a full list held no tombstones for what the list lacked and it had never held. Another VM that asked it for changes moved its revision past those removals and kept the upstreams for good. Change: removals before a full list are not known, so that older askers take everything. Ruled out: tombstones in lists, the platform has none.

--- /dev/null
+++ b/internal/driftexchange/exchange_test.go
@@ -0,0 +1,156 @@
+package driftexchange
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var testHeaders = Headers{Request: "X-Id", Deadline: "X-Left", Expect: "X-Expect", Proof: "X-Proof", NotRun: "X-Not-Run"}
+
+const (
+	good = "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Proof: p\r\nContent-Length: 2\r\n\r\nok"
+	late = "HTTP/1.1 200 OK\r\nX-Id: earlier\r\nX-Proof: p\r\nContent-Length: 3\r\n\r\nold"
+)
+
+// exchange sends one request to an upstream that writes the given bytes, and
+// closes the connection if hangUp is set.
+func exchange(t *testing.T, answer string, hangUp bool) (result Result, usable bool) {
+	t.Helper()
+	near, far := net.Pipe()
+	conn, err := Dial(t.Context(), func(context.Context, string) (net.Conn, error) { return near, nil }, "a", testHeaders)
+	require.NoError(t, err)
+	go func() {
+		if _, err := http.ReadRequest(bufio.NewReader(far)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(far, answer)
+		if hangUp {
+			_ = far.Close()
+		}
+	}()
+	results := make(chan Result, 1)
+	conn.Send(&Request{ID: "a", Method: http.MethodGet, Target: "/x", Host: "h"}, "i-1",
+		time.Now().Add(time.Second), func(r Result) { results <- r })
+	result = <-results
+	synctest.Wait()
+	usable = conn.Usable(time.Now())
+	conn.Close()
+	_ = far.Close()
+	synctest.Wait()
+	return result, usable
+}
+
+func TestReplies(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer string
+		hangUp bool
+		want   Result
+		usable bool
+	}{
+		{"whole", good, false, Done{}, true},
+		{"whole, then closed", good, true, Done{}, false},
+		{"late reply to another request", late + good, false, Done{}, false},
+		{"only a reply to another request", late, true, Unknown{}, false},
+		{"second reply after it", good + late, false, Done{}, false},
+		{"cut short", good[:len(good)-1], true, Unknown{}, false},
+		{"no reply", "", true, Unknown{}, false},
+		{"no reply in time", "", false, Unknown{}, false},
+		{"not a reply", "garbage\r\n\r\n", false, Unknown{}, false},
+		{"without proof", strings.Replace(good, "X-Proof: p\r\n", "", 1), false, Unknown{}, true},
+		{"without length", "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Proof: p\r\n\r\nok", true, Done{}, false},
+		{"chunked", "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Proof: p\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false, Done{}, true},
+		{"close announced", strings.Replace(good, "X-Id", "Connection: close\r\nX-Id", 1), false, Done{}, false},
+		{"refused", "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", false, NotRun{}, true},
+		{"moved", "HTTP/1.1 421 Moved\r\nContent-Length: 0\r\n\r\n", false, NotRun{}, true},
+		{"failure of its own", "HTTP/1.1 500 Oops\r\nX-Id: a\r\nX-Proof: p\r\nContent-Length: 0\r\n\r\n", false, Done{}, true},
+		{"informational first", "HTTP/1.1 103 Early\r\n\r\n" + good, false, Done{}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				result, usable := exchange(t, c.answer, c.hangUp)
+				assert.IsType(t, c.want, result)
+				assert.Equal(t, c.usable, usable)
+				if done, ok := result.(Done); ok && done.Reply.Status == http.StatusOK {
+					assert.Equal(t, "ok", string(done.Reply.Body))
+				}
+			})
+		})
+	}
+}
+
+// TestEarlyReply answers a long body before it is read: the rest of the body
+// must not become another request.
+func TestEarlyReply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		conn, err := Dial(t.Context(), func(context.Context, string) (net.Conn, error) { return near, nil }, "a", testHeaders)
+		require.NoError(t, err)
+		go func() {
+			_, _ = http.ReadRequest(bufio.NewReaderSize(far, 256))
+			_, _ = io.WriteString(far, good)
+		}()
+		results := make(chan Result, 1)
+		conn.Send(&Request{ID: "a", Method: http.MethodPost, Target: "/x", Host: "h", Body: make([]byte, 4*largeBody)},
+			"", time.Now().Add(time.Second), func(r Result) { results <- r })
+		assert.IsType(t, Done{}, <-results)
+		assert.False(t, conn.Usable(time.Now()))
+		conn.Close()
+		_ = far.Close()
+		synctest.Wait()
+	})
+}
+
+// TestIdle closes a connection on which bytes arrive that nobody asked for,
+// and one that has been idle for longer than the upstream keeps it.
+func TestIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		conn, err := Dial(t.Context(), func(context.Context, string) (net.Conn, error) { return near, nil }, "a", testHeaders)
+		require.NoError(t, err)
+		assert.True(t, conn.Usable(time.Now()))
+		assert.False(t, conn.Usable(time.Now().Add(defaultIdle)))
+		_, _ = io.WriteString(far, late[:10])
+		<-conn.Closed()
+		assert.False(t, conn.Usable(time.Now()))
+		_ = far.Close()
+	})
+}
+
+func TestEncode(t *testing.T) {
+	r := &Request{ID: "a", Method: http.MethodPost, Target: "/x%20y?z=%2F", Host: "h.example", Header: http.Header{"X-Own": {"1", "2"}}, Body: []byte("body")}
+	head, err := r.encode(testHeaders, "i-1", 250*time.Millisecond)
+	require.NoError(t, err)
+	request, err := http.ReadRequest(bufio.NewReader(strings.NewReader(string(head) + "body")))
+	require.NoError(t, err)
+	body, err := io.ReadAll(request.Body)
+	require.NoError(t, err)
+	assert.Equal(t, "body", string(body))
+	assert.Equal(t, r.Target, request.RequestURI)
+	assert.Equal(t, r.Host, request.Host)
+	assert.Equal(t, []string{"1", "2"}, request.Header.Values("X-Own"))
+	assert.Equal(t, "i-1", request.Header.Get("X-Expect"))
+	assert.Equal(t, "250", request.Header.Get("X-Left"))
+}
+
+func TestParseLoad(t *testing.T) {
+	load, ok := ParseLoad("3, 0,8")
+	assert.True(t, ok)
+	assert.Equal(t, Load{Running: 3, Waiting: 0, Slots: 8}, load)
+	for _, text := range []string{"", "3", "3,0", "3,0,8,1", "a,0,8", "-1,0,8"} {
+		t.Run(text, func(t *testing.T) {
+			_, ok := ParseLoad(text)
+			assert.False(t, ok)
+		})
+	}
+}
--- /dev/null
+++ b/internal/driftgossip/gossip_test.go
@@ -0,0 +1,256 @@
+package driftgossip
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/almonddrift/almonddrift/internal/driftgossip/driftgossippb"
+	"github.com/almonddrift/almonddrift/internal/driftstate"
+)
+
+// lan carries datagrams between fake sockets.
+type lan struct {
+	mu      sync.Mutex
+	sockets map[string]*socket
+	cut     map[string]bool
+	bytes   int
+}
+
+// socket is a net.PacketConn on a lan.
+type socket struct {
+	net.PacketConn
+	lan     *lan
+	address string
+	in      chan []byte
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func newLAN() *lan { return &lan{sockets: make(map[string]*socket), cut: make(map[string]bool)} }
+
+func (l *lan) listen(address string) *socket {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := &socket{lan: l, address: address, in: make(chan []byte, 256), closed: make(chan struct{})}
+	l.sockets[address] = s
+	return s
+}
+
+func (s *socket) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	select {
+	case data := <-s.in:
+		return copy(buffer, data), nil, nil
+	case <-s.closed:
+		return 0, nil, os.ErrDeadlineExceeded
+	}
+}
+
+func (s *socket) WriteTo(data []byte, to net.Addr) (int, error) {
+	s.lan.mu.Lock()
+	defer s.lan.mu.Unlock()
+	s.lan.bytes += len(data)
+	target, ok := s.lan.sockets[to.String()]
+	if ok && !s.lan.cut[s.address] && !s.lan.cut[target.address] {
+		select {
+		case target.in <- append([]byte(nil), data...):
+		default:
+		}
+	}
+	return len(data), nil
+}
+
+func (s *socket) SetReadDeadline(time.Time) error {
+	s.once.Do(func() { close(s.closed) })
+	return nil
+}
+
+// node is one VM of a test fleet.
+type node struct {
+	fleet   *Fleet
+	replica *driftstate.Replica
+	cancel  context.CancelFunc
+	address string
+}
+
+// pull takes newer state from another VM and passes the news on.
+func (n *node) pull() {
+	held, _ := n.replica.Revision()
+	if c, err := n.fleet.Pull(context.Background(), held); err == nil && n.replica.Apply(c, time.Now()) {
+		n.fleet.News()
+	}
+}
+
+// replicas answers calls for changes from memory.
+type replicas map[string]*driftstate.Replica
+
+func (r replicas) Changes(_ context.Context, address string, after int64) (driftstate.Changes, error) {
+	return r[address].After(after), nil
+}
+
+func startFleet(t *testing.T, l *lan, vms int) []*node {
+	t.Helper()
+	known := make(replicas)
+	var nodes []*node
+	for i := range vms {
+		address := fmt.Sprintf("10.%d.0.%d:7740", i%3, i)
+		known[address] = driftstate.NewReplica()
+		self := Self{Name: fmt.Sprintf("vm-%02d", i), Domain: fmt.Sprintf("d%d", i%3), Address: address, Boot: 1}
+		ctx, cancel := context.WithCancel(t.Context())
+		n := &node{replica: known[address], cancel: cancel, address: address}
+		n.fleet = New(self, []string{"10.0.0.0:7740", "10.9.9.9:7740"}, l.listen(address), n.replica, known,
+			WithNudge(n.pull))
+		go n.fleet.Run(ctx)
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+func stopFleet(nodes []*node) {
+	for _, n := range nodes {
+		n.cancel()
+	}
+	synctest.Wait()
+}
+
+// readerCount returns how many of the VMs would read the platform.
+func readerCount(nodes []*node) int {
+	count := 0
+	for _, n := range nodes {
+		if n.fleet.Reads() {
+			count++
+		}
+	}
+	return count
+}
+
+func TestFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLAN()
+		nodes := startFleet(t, l, 8)
+		time.Sleep(2 * time.Second)
+		for _, n := range nodes {
+			assert.Len(t, n.fleet.Alive(), 7, n.address)
+		}
+		assert.Equal(t, readerBound, readerCount(nodes))
+
+		t.Log("the first reader dies: another one takes over well within the bound for changes")
+		nodes[0].cancel()
+		l.mu.Lock()
+		l.cut[nodes[0].address] = true
+		l.mu.Unlock()
+		time.Sleep(deadAfter + 2*beatPeriod)
+		for _, n := range nodes[1:] {
+			assert.Len(t, n.fleet.Alive(), 6, n.address)
+			assert.Len(t, n.fleet.Recent(), 7, "a VM that has just gone still counts in shared bounds")
+		}
+		assert.Equal(t, readerBound, readerCount(nodes[1:]))
+
+		t.Log("a reader cannot read the platform: it is passed over")
+		nodes[1].fleet.Blind(true)
+		time.Sleep(2 * beatPeriod)
+		assert.False(t, nodes[1].fleet.Reads())
+		assert.Equal(t, readerBound, readerCount(nodes[1:]))
+		stopFleet(nodes)
+	})
+}
+
+// TestPartition heals: both parts find each other again although each has
+// taken the other for dead.
+func TestPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLAN()
+		nodes := startFleet(t, l, 6)
+		time.Sleep(2 * time.Second)
+		l.mu.Lock()
+		l.cut[nodes[3].address] = true
+		l.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		assert.Empty(t, nodes[3].fleet.Alive())
+		assert.True(t, nodes[3].fleet.Reads(), "a VM alone reads for itself")
+		l.mu.Lock()
+		delete(l.cut, nodes[3].address)
+		l.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		assert.Len(t, nodes[3].fleet.Alive(), 5)
+		assert.Len(t, nodes[0].fleet.Alive(), 5)
+		stopFleet(nodes)
+	})
+}
+
+// TestNewsTravels gives one VM a newer revision: all others hold it at once.
+func TestNewsTravels(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := startFleet(t, newLAN(), 8)
+		time.Sleep(2 * time.Second)
+		nodes[2].replica.Apply(driftstate.Changes{
+			Full: true, Revision: 7, Confirmed: time.Now(),
+			Items: []driftstate.Item{{Key: "a", Value: []byte("x"), Revision: 7}},
+		}, time.Now())
+		nodes[2].fleet.News()
+		synctest.Wait()
+		for _, n := range nodes {
+			held, _ := n.replica.Revision()
+			assert.EqualValues(t, 7, held, n.address)
+		}
+		stopFleet(nodes)
+	})
+}
+
+func TestMerge(t *testing.T) {
+	now := time.Now()
+	entry := func(boot, beat uint64) *driftgossippb.Entry {
+		return &driftgossippb.Entry{Name: "vm", Boot: boot, Beat: beat}
+	}
+	for _, c := range []struct {
+		name  string
+		entry *driftgossippb.Entry
+		after time.Duration
+		taken bool
+	}{
+		{"newer beat", entry(5, 11), 0, true},
+		{"same beat", entry(5, 10), 0, false},
+		{"later incarnation", entry(6, 1), 0, true},
+		{"earlier incarnation", entry(4, 99), 0, false},
+		{"earlier incarnation after death, its clock went back", entry(4, 1), 2 * deadAfter, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			members := newTable()
+			members.merge(entry(5, 10), now)
+			members.merge(c.entry, now.Add(c.after))
+			assert.Equal(t, c.taken, members.members["vm"].Beat == c.entry.GetBeat() && c.entry.GetBeat() != 10)
+		})
+	}
+}
+
+// TestCost holds the users' bound on control traffic at full size, 3 KB a
+// second for a VM. It must not grow with the fleet.
+func TestCost(t *testing.T) {
+	const bound = 3000
+	for _, vms := range []int{8, 30, 90} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLAN()
+				nodes := startFleet(t, l, vms)
+				time.Sleep(3 * time.Second)
+				l.mu.Lock()
+				before := l.bytes
+				l.mu.Unlock()
+				time.Sleep(10 * time.Second)
+				l.mu.Lock()
+				each := (l.bytes - before) / 10 / vms
+				l.mu.Unlock()
+				t.Logf("%d bytes a second", each)
+				assert.Less(t, each, bound)
+				stopFleet(nodes)
+			})
+		})
+	}
+}
--- a/internal/driftrelay/relay_test.go
+++ b/internal/driftrelay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -36,7 +37,7 @@
 // TestPauses replays upstreams that pause for 200 ms every 4.5 s, each at its
 // own time. The users ask for 97% in time on a quiet day.
 func TestPauses(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(10, 4, rushWork, rush())
 		w.each(func(_ int, s *standIn) { s.pause, s.pauseEvery = 200*time.Millisecond, 4500*time.Millisecond })
 		r := w.relay()
@@ -49,7 +50,7 @@
 // of their requests, as on a standard day of Tacada. The users ask for 0.75 in
 // the worst windows.
 func TestRefusals(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(10, 2, rushWork, rush())
 		w.each(func(i int, s *standIn) {
 			if i%testDomains != testDomains-1 {
@@ -67,7 +68,7 @@
 // TestLostAnswers replays a third of the upstreams losing 40% of the answers
 // after they ran the request.
 func TestLostAnswers(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(10, 4, rushWork, rush())
 		w.each(func(i int, s *standIn) {
 			if i%testDomains == 0 {
@@ -83,7 +84,7 @@
 // TestShardDown answers from the other shards before the objective while all
 // upstreams of one are dark.
 func TestShardDown(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(10, 4, rushWork, rush())
 		w.each(func(i int, s *standIn) { s.dark = i < testDomains })
 		r := w.relay()
@@ -98,7 +99,7 @@
 // not get it.
 func TestRunsOnce(t *testing.T) {
 	for first := range testDomains {
-		inBubble(t, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(1, 2, 160*time.Millisecond, once())
 			w.each(func(i int, s *standIn) {
 				s.lose = 1
@@ -139,7 +140,7 @@
 // TestConnections holds the bound on connections while upstreams stand still
 // and queries pile up.
 func TestConnections(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(10, 4, rushWork, rush())
 		w.each(func(_ int, s *standIn) { s.speed = 30 })
 		r := w.relay()
@@ -153,7 +154,7 @@
 
 // TestLeft frees the upstreams of a caller that has left.
 func TestLeft(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(10, 4, rushWork, rush())
 		w.each(func(_ int, s *standIn) { s.speed = 60 })
 		r := w.relay()
--- a/internal/driftrelay/world_test.go
+++ b/internal/driftrelay/world_test.go
@@ -258,14 +258,6 @@
 	assert.GreaterOrEqual(t, share, least)
 }
 
-// inBubble runs the test in virtual time and ends its connections.
-func inBubble(t *testing.T, run func(t *testing.T)) {
-	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		run(t)
-	})
-}
-
 // closeAll ends the idle connections of a relay, so that no goroutine stays.
 func closeAll(r *Relay) {
 	time.Sleep(10 * time.Second)
--- a/internal/driftstate/replica.go
+++ b/internal/driftstate/replica.go
@@ -53,7 +53,8 @@
 	items     map[string]Item
 	revision  int64
 	confirmed time.Time
-	// floor is the newest revision whose tombstone was dropped.
+	// floor is the revision up to which removals are not known: their
+	// tombstones were dropped, or a full list came without them.
 	floor int64
 }
 
@@ -100,8 +101,9 @@
 	for _, item := range c.Items {
 		changed = r.take(item, now) || changed
 	}
-	if c.Full {
+	if c.Full && c.Revision >= r.revision {
 		changed = r.removeMissing(c, now) || changed
+		r.floor = max(r.floor, c.Revision)
 	}
 	r.revision = max(r.revision, c.Revision)
 	r.confirm(c.Revision, c.Confirmed)
@@ -159,7 +161,7 @@
 	}
 	changed := false
 	for key, held := range r.items {
-		if held.Removed || listed[key] || held.Revision > c.Revision || c.Revision < r.revision {
+		if held.Removed || listed[key] || held.Revision > c.Revision {
 			continue
 		}
 		r.items[key] = Item{Key: key, Revision: c.Revision, Removed: true, Seen: now}
--- /dev/null
+++ b/internal/driftstate/replica_test.go
@@ -0,0 +1,238 @@
+package driftstate
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+func item(key string, revision int64) Item {
+	return Item{Key: key, Value: []byte(strconv.FormatInt(revision, 10)), Revision: revision}
+}
+
+func removal(key string, revision int64) Item {
+	return Item{Key: key, Revision: revision, Removed: true}
+}
+
+func keys(r *Replica) []string {
+	var keys []string
+	for _, i := range r.Live() {
+		keys = append(keys, i.Key+"@"+string(i.Value))
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func TestReplica(t *testing.T) {
+	now := time.Now()
+	full := Changes{Full: true, Revision: 10, Items: []Item{item("a", 3), item("b", 9)}, Confirmed: now}
+	t.Run("changes before a full read are not taken", func(t *testing.T) {
+		r := NewReplica()
+		assert.False(t, r.Apply(Changes{Revision: 5, Items: []Item{item("a", 5)}}, now))
+		assert.Empty(t, keys(r))
+	})
+	t.Run("an older list removes and reverts nothing", func(t *testing.T) {
+		r := NewReplica()
+		r.Apply(full, now)
+		r.Apply(Changes{Revision: 12, Items: []Item{item("a", 11), item("c", 12)}}, now)
+		assert.False(t, r.Apply(Changes{Full: true, Revision: 8, Items: []Item{item("a", 3)}}, now))
+		assert.Equal(t, []string{"a@11", "b@9", "c@12"}, keys(r))
+	})
+	t.Run("a newer list removes what it lacks", func(t *testing.T) {
+		r := NewReplica()
+		r.Apply(full, now)
+		r.Apply(Changes{Full: true, Revision: 20, Items: []Item{item("b", 9)}}, now)
+		assert.Equal(t, []string{"b@9"}, keys(r))
+		assert.True(t, r.After(10).Full, "what was removed before the list is not known")
+		assert.False(t, r.After(20).Full)
+	})
+	t.Run("a dropped removal makes others take everything", func(t *testing.T) {
+		r := NewReplica()
+		r.Apply(full, now)
+		r.Apply(Changes{Revision: 11, Items: []Item{removal("a", 11)}}, now)
+		assert.False(t, r.After(10).Full)
+		r.Apply(Changes{Revision: 12, Items: []Item{item("c", 12)}}, now.Add(2*tombstoneLife))
+		assert.True(t, r.After(10).Full)
+		assert.False(t, r.After(11).Full)
+	})
+	t.Run("confirmed only for what is held", func(t *testing.T) {
+		r := NewReplica()
+		r.Apply(full, now)
+		r.Confirm(11, now.Add(time.Second))
+		_, confirmed := r.Revision()
+		assert.Equal(t, now, confirmed)
+		r.Confirm(10, now.Add(time.Second))
+		_, confirmed = r.Revision()
+		assert.Equal(t, now.Add(time.Second), confirmed)
+		r.Distrust()
+		_, confirmed = r.Revision()
+		assert.Zero(t, confirmed)
+	})
+}
+
+// TestReplicasAgree passes random changes through two replicas that read the
+// platform now and then, fully or not, or take changes from each other.
+func TestReplicasAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		source := NewReplica()
+		source.Apply(Changes{Full: true, Revision: 1, Items: []Item{item("k0", 1)}}, now)
+		replicas := []*Replica{NewReplica(), NewReplica()}
+		for revision := int64(2); revision < 40; revision++ {
+			key := "k" + strconv.Itoa(rapid.IntRange(0, 5).Draw(t, "key"))
+			change := item(key, revision)
+			if rapid.Bool().Draw(t, "removed") {
+				change = removal(key, revision)
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "s")) * time.Second)
+			source.Apply(Changes{Revision: revision, Items: []Item{change}}, now)
+			to := rapid.IntRange(0, 1).Draw(t, "to")
+			from := source
+			if rapid.Bool().Draw(t, "peer") {
+				from = replicas[1-to]
+			}
+			held, _ := replicas[to].Revision()
+			replicas[to].Apply(from.After(held), now)
+			now2, _ := replicas[to].Revision()
+			assert.GreaterOrEqual(t, now2, held)
+		}
+		for _, r := range replicas {
+			held, _ := r.Revision()
+			r.Apply(source.After(held), now)
+			assert.Equal(t, keys(source), keys(r))
+		}
+	})
+}
+
+// fakeSource is a platform whose reads can fail or hang.
+type fakeSource struct {
+	mu      sync.Mutex
+	changes Changes
+	err     error
+	hangs   bool
+	gone    bool
+	calls   int
+}
+
+func (f *fakeSource) call(ctx context.Context) (Changes, error) {
+	f.mu.Lock()
+	f.calls++
+	c, err, hangs := f.changes, f.err, f.hangs
+	f.mu.Unlock()
+	if hangs {
+		<-ctx.Done()
+		return Changes{}, ctx.Err()
+	}
+	c.Confirmed = time.Now()
+	return c, err
+}
+
+func (f *fakeSource) List(ctx context.Context, _ bool) (Changes, error) {
+	c, err := f.call(ctx)
+	c.Full = true
+	return c, err
+}
+
+func (f *fakeSource) Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error) {
+	f.mu.Lock()
+	gone := f.gone
+	f.gone = false
+	f.mu.Unlock()
+	if gone {
+		return Changes{}, errors.Annotate(ErrCompacted, "watch")
+	}
+	end := time.Now().Add(wait)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		if c, err := f.call(ctx); err != nil || c.Revision > after {
+			return c, err
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return f.call(ctx)
+}
+
+func (f *fakeSource) publish(revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.changes = Changes{Revision: revision, Items: []Item{item("a", revision)}}
+}
+
+func (f *fakeSource) set(change func(f *fakeSource)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+// fakeFleet is a fleet of one VM.
+type fakeFleet struct{ reads bool }
+
+func (f fakeFleet) Reads() bool { return f.reads }
+func (f fakeFleet) Blind(bool)  {}
+func (f fakeFleet) News()       {}
+func (f fakeFleet) Pull(context.Context, int64) (Changes, error) {
+	return Changes{}, errors.NotFoundf("VM")
+}
+
+// configBound is the time within which the users want a change in force.
+const configBound = 3 * time.Second
+
+func TestReader(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		reads  bool
+		before func(f *fakeSource)
+	}{
+		{"watches", true, func(*fakeSource) {}},
+		{"history gone", true, func(f *fakeSource) { f.gone = true }},
+		{"no other VM reads", false, func(*fakeSource) {}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				source := &fakeSource{}
+				source.publish(1)
+				replica := NewReplica()
+				ctx, cancel := context.WithCancel(t.Context())
+				go NewReader(replica, source, fakeFleet{reads: c.reads}).Run(ctx)
+				time.Sleep(time.Second)
+				assert.Equal(t, []string{"a@1"}, keys(replica))
+				source.set(c.before)
+				source.publish(2)
+				time.Sleep(configBound + readAfter)
+				assert.Equal(t, []string{"a@2"}, keys(replica))
+				cancel()
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// TestSilentPlatform notices a watch that hangs well within the bound for
+// changes, and goes on with what it holds.
+func TestSilentPlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &fakeSource{}
+		source.publish(1)
+		replica := NewReplica()
+		ctx, cancel := context.WithCancel(t.Context())
+		go NewReader(replica, source, fakeFleet{reads: true}).Run(ctx)
+		time.Sleep(time.Second)
+		source.set(func(f *fakeSource) { f.hangs = true })
+		time.Sleep(time.Minute)
+		assert.Equal(t, []string{"a@1"}, keys(replica))
+		source.set(func(f *fakeSource) { f.hangs = false })
+		source.publish(2)
+		time.Sleep(watchWait + watchSlack + lastPause)
+		assert.Equal(t, []string{"a@2"}, keys(replica))
+		assert.Less(t, source.calls, 60+200*4, "calls while the platform hangs")
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
