Explain a request from the logs of a fleet; say in each line what was tried and how old the view was

Cause: on-call has logs alone, and a failed line named upstreams but not what became of each; times had whole seconds. Change: notes of each try, age of the view, milliseconds; almonddrift explain gathers a request's lines over all VMs, what the VM came to believe just before, and the cause; the age at which a missing route is doubted moved from the adapter to the relay.

--- /dev/null
+++ b/cmd/almonddrift/explain.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"os"
+
+	"github.com/juju/errors"
+
+	"github.com/almonddrift/almonddrift/internal/drifttimeline"
+)
+
+// explainCommand tells from the logs of a fleet why a request ended as it did.
+type explainCommand struct {
+	Log     string `help:"File with the log lines of all VMs." type:"existingfile" required:""`
+	JSON    bool   `help:"Print JSON."`
+	Request string `arg:"" help:"The request's id."`
+}
+
+// Help implements kong.HelpProvider.
+func (e *explainCommand) Help() string {
+	return `Gathers all lines of the request over all VMs, what the VM came to believe just before, and
+names the cause. Exits with 1 if no line has the id.
+
+Example: almonddrift explain --log fleet.log 9c41d07be2a35f68`
+}
+
+// Run implements the command.
+func (e *explainCommand) Run(out *output) (err error) {
+	defer errors.DeferredAnnotatef(&err, "reading %q", e.Log)
+	file, err := os.Open(e.Log)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	explanation, err := drifttimeline.Explain(file, e.Request)
+	if err != nil {
+		return err
+	}
+	return out.print(e.JSON, explanation)
+}
--- a/cmd/almonddrift/main.go
+++ b/cmd/almonddrift/main.go
@@ -29,6 +29,7 @@
 	Check    checkCommand    `cmd:"" help:"Check settings, or a document that is about to be published."`
 	Status   statusCommand   `cmd:"" help:"Show what each VM sees, and which VMs differ."`
 	Timeline timelineCommand `cmd:"" help:"Show the events of all VMs in order."`
+	Explain  explainCommand  `cmd:"" help:"Tell from logs why a request ended as it did."`
 	Demo     demoCommand     `cmd:"" help:"Run a whole small fleet in one process."`
 	Capacity capacityCommand `cmd:"" hidden:"" help:"Print what each role costs at full size."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -36,7 +36,7 @@
 	checker *driftcheck.Checker
 	events  driftevent.Recorder
 	tell    func(upstream string, span time.Duration)
-	fresh   func() bool
+	age     func() time.Duration
 	spread  *driftroute.Spread
 	started time.Time
 	metrics *Metrics
@@ -82,12 +82,17 @@
 	return func(r *Relay) { r.tell = tell }
 }
 
-// WithFresh sets the function that reports whether the view is recent enough
-// to say that a route does not exist.
-func WithFresh(fresh func() bool) Option {
-	return func(r *Relay) { r.fresh = fresh }
+// WithAge sets the function that returns how long ago the platform confirmed
+// the view.
+func WithAge(age func() time.Duration) Option {
+	return func(r *Relay) { r.age = age }
 }
 
+// staleAfter is the age of the view from which a missing route is no longer
+// taken to be unpublished: changes are in force within 3 s on the published
+// sites.
+const staleAfter = 2900 * time.Millisecond
+
 // DefaultBudget is the rule on the published sites.
 func DefaultBudget() BudgetRule {
 	return BudgetRule{Ratio: 0.2, Extra: 56, Window: 10 * time.Second}
@@ -100,7 +105,7 @@
 		self: self, headers: headers, rule: DefaultBudget(), events: events,
 		checker: driftcheck.NewChecker(events), dialer: driftexchange.DialTCP,
 		spread: driftroute.NewSpread(), started: time.Now(),
-		tell: func(string, time.Duration) {}, fresh: func() bool { return true },
+		tell: func(string, time.Duration) {}, age: func() time.Duration { return 0 },
 		upstreams: make(map[string]*entity), services: make(map[string][]*entity),
 		out: make(map[string]time.Time), budgets: make(map[string]*Budget),
 		usual: make(map[string]time.Duration),
@@ -212,12 +217,13 @@
 // noRoute answers a request that no route matches. A view that is not recent
 // may lack the route, so that the caller is asked to come back.
 func (r *Relay) noRoute(request *driftexchange.Request, path string, version int64) Answer {
-	if !r.fresh() {
+	age := r.age()
+	if age > staleAfter {
 		return r.refuseUnrouted(request, CauseStale, retrySoon)
 	}
 	r.metrics.answer("", CauseNoRoute, 0)
 	r.events.Record(driftevent.RequestFailed, request.ID, request.Host+path,
-		fmt.Sprintf("%s status %d, version %d", CauseNoRoute, http.StatusNotFound, version))
+		fmt.Sprintf("%s status %d, version %d, view %d ms old", CauseNoRoute, http.StatusNotFound, version, age.Milliseconds()))
 	return Answer{Status: http.StatusNotFound, Cause: CauseNoRoute}
 }
 
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -50,7 +50,9 @@
 	waits bool
 	// troubled is set once the leg has failed or been late.
 	troubled bool
-	hedgeAt  time.Time
+	// notes tell what went wrong, for the log.
+	notes   []string
+	hedgeAt time.Time
 }
 
 type landed struct {
@@ -157,6 +159,9 @@
 		last: !s.query.Route.Repeat || l.sent+len(l.flights)+1 >= s.query.Route.Attempts,
 	}, now)
 	if !ok {
+		if waits := r.anyUsable(l.service, l.tried, now); waits && !l.waits {
+			l.notes = append(l.notes, "no room at any upstream")
+		}
 		l.waits = r.anyUsable(l.service, l.tried, now)
 		l.over = !l.waits && len(l.flights) == 0
 		r.mu.Unlock()
@@ -204,6 +209,7 @@
 		leg.ran = true
 		if result.Reply.Status >= http.StatusMultipleChoices {
 			leg.failure = &result.Reply
+			leg.note(l.flight, now, fmt.Sprintf("failed with %d", result.Reply.Status))
 			break
 		}
 		leg.part = &result.Reply
@@ -211,14 +217,21 @@
 		return
 	case driftexchange.Unknown:
 		leg.ran = true
+		leg.note(l.flight, now, "lost: "+result.Err.Error())
 	case driftexchange.NotRun:
 		s.refused++
+		leg.note(l.flight, now, "not run: "+result.Err.Error())
 	}
 	if len(leg.flights) == 0 {
 		s.again(leg, now)
 	}
 }
 
+// note records what became of a flight.
+func (l *leg) note(f *flight, now time.Time, what string) {
+	l.notes = append(l.notes, fmt.Sprintf("%s %s after %.0f ms", f.entity.ID, what, now.Sub(f.started).Seconds()*1000))
+}
+
 // again tries another upstream after a failure, if route, kind and budget
 // allow it.
 func (s *scatter) again(l *leg, now time.Time) {
@@ -252,6 +265,7 @@
 	defer r.mu.Unlock()
 	if !r.budget(l.service).Spend(now, r.rule, r.budgetShare(now), need) {
 		s.denied++
+		l.notes = append(l.notes, "no budget for another")
 		r.metrics.send(l.service, sendDenied)
 		return false
 	}
@@ -466,9 +480,9 @@
 		code = driftevent.RequestFailed
 	}
 	s.relay.events.Record(code, q.Request.ID, q.Route.Name, fmt.Sprintf(
-		"%s status %d in %d of %d, extra %d, denied %d, refused %d, version %d, took %.1f ms%s",
+		"%s status %d in %d of %d, extra %d, denied %d, refused %d, version %d, view %d ms old, took %.1f ms%s",
 		a.Cause, a.Status, s.in, len(s.legs), s.extras, s.denied, s.refused, s.version(),
-		time.Since(q.Arrived).Seconds()*1000, s.late()))
+		s.relay.age().Milliseconds(), time.Since(q.Arrived).Seconds()*1000, s.lacking()))
 	return a
 }
 
@@ -478,16 +492,17 @@
 	return s.relay.table.Config.Version
 }
 
-// late names the legs that lack a part and what was tried for them.
-func (s *scatter) late() string {
+// lacking names the legs that lack a part, and what was tried for them.
+func (s *scatter) lacking() string {
 	var b strings.Builder
+	now := time.Now()
 	for _, l := range s.legs {
 		if l.part != nil {
 			continue
 		}
-		b.WriteString("; " + l.service + " tried")
-		for _, e := range l.tried {
-			b.WriteString(" " + e.ID)
+		b.WriteString("; " + l.service + ": " + strings.Join(l.notes, ", "))
+		for _, f := range l.flights {
+			fmt.Fprintf(&b, " %s silent for %.0f ms", f.entity.ID, now.Sub(f.started).Seconds()*1000)
 		}
 	}
 	return b.String()
