--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -134,13 +134,7 @@
 	var closing []*driftexchange.Conn
 	for id, e := range r.upstreams {
 		gone := !e.goneAt.IsZero() && now.Sub(e.goneAt) > goneGrace
-		e.idle = slices.DeleteFunc(e.idle, func(c *driftexchange.Conn) bool {
-			if gone || !c.Usable(now) {
-				closing = append(closing, c)
-				return true
-			}
-			return false
-		})
+		closing = append(closing, e.retire(now, gone)...)
 		if gone && len(e.flights) == 0 {
 			delete(r.upstreams, id)
 		}
@@ -152,6 +146,28 @@
 	}
 }
 
+// surplusIdle is how long an idle connection is kept beside another one. After
+// a loss of power an upstream counts the connections of the VMs as they were
+// for several seconds, and accepts only what is left of its bound.
+const surplusIdle = time.Second
+
+// retire takes the idle connections away that are to be closed: all of an
+// upstream that is gone, those that the upstream may close any moment, and
+// all but the newest that have been idle for a while.
+func (e *entity) retire(now time.Time, gone bool) (closing []*driftexchange.Conn) {
+	kept := e.idle[:0:0]
+	for i, c := range e.idle {
+		newest := i == len(e.idle)-1
+		if gone || !c.Usable(now) || (!newest && c.Idle(now) > surplusIdle) {
+			closing = append(closing, c)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	e.idle = kept
+	return closing
+}
+
 // SetVMs tells which other VMs share the upstreams.
 func (r *Relay) SetVMs(others []VM) {
 	r.mu.Lock()
