--- a/internal/driftrelay/budget.go
+++ b/internal/driftrelay/budget.go
@@ -79,6 +79,8 @@
 	VMs int
 	// Young is set while the VM has not run for a whole window.
 	Young bool
+	// Unsettled is set while the VM may not know how many others there are.
+	Unsettled bool
 }
 
 // Spend counts an extra send and reports whether the share allowed it.
@@ -98,7 +100,10 @@
 		most = max(most, sum(b.requests, end.Add(-r.Window), end))
 	}
 	fixed := r.Extra / float64(max(1, share.VMs))
-	if share.Young {
+	switch {
+	case share.Unsettled:
+		fixed = 0
+	case share.Young:
 		fixed *= youngPart
 	}
 	return r.Ratio*most + fixed
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -236,10 +236,14 @@
 	return answer
 }
 
+// settleSpan is how long after its start a VM may not have heard of all others.
+const settleSpan = 2 * time.Second
+
 // budgetShare returns this VM's share of the budgets. The caller holds the
 // lock.
 func (r *Relay) budgetShare(now time.Time) Share {
-	return Share{VMs: 1 + len(r.others), Young: now.Sub(r.started) < r.rule.Window}
+	age := now.Sub(r.started)
+	return Share{VMs: 1 + len(r.others), Young: age < r.rule.Window, Unsettled: age < settleSpan}
 }
 
 func (r *Relay) leave() {
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -21,6 +21,9 @@
 	now := time.Now()
 	f = &flight{entity: e, started: now, expected: expected}
 	e.flights = append(e.flights, f)
+	r.checker.NotLeaving(q.Request.ID, e.ID, e.leavingAt, now)
+	r.checker.NotLeaving(q.Request.ID, e.ID, e.goneAt, now)
+	r.checker.NotOut(q.Request.ID, e.ID, r.out[e.Domain], now)
 	if now.Before(e.coldUntil) {
 		e.coldSent = count(e.coldSent, now, time.Second)
 	}
@@ -57,7 +60,6 @@
 
 func (r *Relay) exchange(f *flight, q *Query, deliver deliverFunc) {
 	deadline := q.End.Add(-deadlineMargin)
-	r.checker.NotLeaving(q.Request.ID, f.entity.ID, f.entity.leavingAt, f.started)
 	f.conn.Send(q.Request, f.entity.ID, deadline, func(result driftexchange.Result) {
 		r.finish(f, q, result, deliver)
 	})
