Wait for budget until the answer is due in place of giving a shard up

Cause: when the budget of a shard was spent at the moment a request was refused, the shard was lost and with two lost the whole query refused after 3 ms, though the budget slides and its caller came back with ten new requests. Reading the loop also showed that a query placed requests by the newest configuration rather than by its own, and that the check for at most once could not fail. Change: such a leg asks again until the answer is due, a single request for a quarter of its objective; a query keeps its table; NotAgain fails if a request that may not be repeated is sent after an attempt that may have run.

--- a/internal/driftcheck/check_test.go
+++ b/internal/driftcheck/check_test.go
@@ -44,6 +44,7 @@
 		{"short", Whole, func(c *Checker, _ time.Time) { c.OwnWhole("q", "a", "a", 1, 2) }},
 		{"too long", Whole, func(c *Checker, _ time.Time) { c.OwnWhole("q", "a", "a", 2, 1) }},
 		{"may have run", NotRun, func(c *Checker, _ time.Time) { c.TrulyNotRun("q", true) }},
+		{"sent again", Once, func(c *Checker, _ time.Time) { c.NotAgain("q", true) }},
 		{"twice", Once, func(c *Checker, now time.Time) {
 			c.AtMostOnce("q", now.Add(time.Second), now)
 			c.AtMostOnce("q", now.Add(time.Second), now)
@@ -104,6 +105,7 @@
 	c.NotOut("q", "Recife", time.Time{}, now)
 	c.OwnWhole("q", "a", "a", 2, 2)
 	c.TrulyNotRun("q", false)
+	c.NotAgain("q", false)
 	c.NotLeaving("q", "u", now.Add(-OutGrace), now)
 	c.NothingCutOff(0)
 	c.Forward("marks", 3, 3)
--- a/internal/driftcheck/promise.go
+++ b/internal/driftcheck/promise.go
@@ -69,6 +69,14 @@
 	}
 }
 
+// NotAgain asserts that a request that is not idempotent is not sent again
+// after an attempt that may have run.
+func (c *Checker) NotAgain(request string, again bool) {
+	if again {
+		c.violate(Once, request, "sent again after an attempt that may have run")
+	}
+}
+
 // NotLeaving asserts that no new work goes to an upstream longer than
 // OutGrace after the first sign that it leaves. A zero sign means none.
 func (c *Checker) NotLeaving(request, upstream string, sign, now time.Time) {
--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -137,17 +137,11 @@
 	}
 	s.relay.events.Record(code, q.Request.ID, q.Route.Name, fmt.Sprintf(
 		"%s status %d in %d of %d, extra %d, denied %d, refused %d, version %d, view %d ms old, took %.1f ms%s",
-		a.Cause, a.Status, s.in, len(s.legs), s.extras, s.denied, s.refused, s.version(),
+		a.Cause, a.Status, s.in, len(s.legs), s.extras, s.denied, s.refused, q.Table.Config.Version,
 		s.relay.age().Milliseconds(), time.Since(q.Arrived).Seconds()*1000, s.lacking()))
 	return a
 }
 
-func (s *scatter) version() int64 {
-	s.relay.mu.Lock()
-	defer s.relay.mu.Unlock()
-	return s.relay.table.Config.Version
-}
-
 // lacking names the legs that lack a part, and what was tried for them.
 func (s *scatter) lacking() string {
 	var b strings.Builder
--- a/internal/driftrelay/decision_test.go
+++ b/internal/driftrelay/decision_test.go
@@ -100,6 +100,15 @@
 	}
 }
 
+// TestUnsettled holds that a VM that may not know the others spends nothing of
+// the fixed part: all of them start at once after a loss of power.
+func TestUnsettled(t *testing.T) {
+	now := time.Now()
+	var b Budget
+	assert.False(t, b.Spend(now, DefaultBudget(), Share{VMs: 1, Young: true, Unsettled: true}, NeedAnswer))
+	assert.True(t, b.Spend(now, DefaultBudget(), Share{VMs: 1, Young: true}, NeedAnswer))
+}
+
 func within(times []time.Time, from, to time.Time) int {
 	n := 0
 	for _, at := range times {
--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/almonddrift/almonddrift/internal/driftexchange"
+	"github.com/almonddrift/almonddrift/internal/driftroute"
 )
 
 // VM is another VM that uses the same upstreams.
@@ -201,8 +202,8 @@
 
 // place chooses the upstream of a service for a request, leaving out those
 // that were tried. The caller holds the lock.
-func (r *Relay) place(service string, tried []*entity, w want, now time.Time) (best choice, ok bool) {
-	published, known := r.table.Service(service)
+func (r *Relay) place(table *driftroute.Table, service string, tried []*entity, w want, now time.Time) (best choice, ok bool) {
+	published, known := table.Service(service)
 	if !known {
 		return best, false
 	}
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -175,6 +175,9 @@
 // Query is one request on its way.
 type Query struct {
 	Request *driftexchange.Request
+	// Table is the version of the configuration that holds from the start of
+	// the request to its end.
+	Table   *driftroute.Table
 	Route   *driftroute.Route
 	Arrived time.Time
 	// End is when the caller must have its answer.
@@ -210,7 +213,7 @@
 	if wait > 0 && (limit <= 0 || wait < limit) {
 		limit = wait
 	}
-	q := &Query{Request: request, Route: route, Arrived: arrived, End: arrived.Add(limit - answerMargin)}
+	q := &Query{Request: request, Table: table, Route: route, Arrived: arrived, End: arrived.Add(limit - answerMargin)}
 	return newScatter(r, q).run(ctx)
 }
 
--- a/internal/driftrelay/relay_test.go
+++ b/internal/driftrelay/relay_test.go
@@ -115,6 +115,7 @@
 				assertOnce(t, w, a)
 				time.Sleep(5 * time.Second)
 			}
+			assert.Zero(t, checker.Total())
 			closeAll(r)
 		})
 	}
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/almonddrift/almonddrift/internal/driftexchange"
@@ -44,8 +43,11 @@
 	ran bool
 	// over is set when nothing more can be tried.
 	over bool
-	// waits is set while no upstream has room.
+	// waits is set while no upstream has room or the budget is spent.
 	waits bool
+	// paid is set while an extra send was taken from the budget and has found
+	// no room.
+	paid bool
 	// troubled is set once the leg has failed or been late.
 	troubled bool
 	// notes tell what went wrong, for the log.
@@ -152,7 +154,7 @@
 	r := s.relay
 	r.mu.Lock()
 	typical := r.typical(s.query.Route)
-	best, ok := r.place(l.service, l.tried, want{
+	best, ok := r.place(s.query.Table, l.service, l.tried, want{
 		typical: typical, aim: s.query.Route.Aim,
 		last: !s.query.Route.Repeat || l.sent+len(l.flights)+1 >= s.query.Route.Attempts,
 	}, now)
@@ -166,6 +168,7 @@
 		return false
 	}
 	l.waits = false
+	again := l.ran || anySent(l)
 	f, send := r.launch(s.query, best.entity, min(best.cost, s.query.Route.Aim), func(f *flight, result driftexchange.Result) {
 		s.results <- landed{leg: l, flight: f, result: result}
 	})
@@ -173,9 +176,7 @@
 	l.flights = append(l.flights, f)
 	l.hedgeAt = now.Add(HedgeDelay(s.query.Route.Aim, typical))
 	r.mu.Unlock()
-	if !s.query.Route.Repeat {
-		r.checker.AtMostOnce(s.query.Request.ID+"/"+strconv.Itoa(len(l.tried)), s.query.End, now)
-	}
+	r.checker.NotAgain(s.query.Request.ID, !s.query.Route.Repeat && again)
 	send()
 	return true
 }
@@ -233,17 +234,29 @@
 // again tries another upstream after a failure, if route, kind and budget
 // allow it.
 func (s *scatter) again(l *leg, now time.Time) {
-	l.troubled = true
+	l.troubled = l.troubled || !l.waits
 	switch {
 	case !s.mayTry(l):
 		l.over = true
-	case l.sent > 0 && !s.spend(l, now, true):
-		l.over = true
+	case l.sent > 0 && !l.paid && !s.spend(l, now, true):
+		l.waits = now.Before(s.budgetUntil())
+		l.over = !l.waits
 	default:
-		s.try(l, now)
+		l.paid = !s.try(l, now)
 	}
 }
 
+// budgetUntil returns until when a leg waits for its service's budget: a
+// gather, most of whose work is done, until its answer is due, others for a
+// quarter of the objective, so that a refusal is not held back.
+func (s *scatter) budgetUntil() time.Time {
+	aim := s.query.Route.Aim
+	if s.gather != nil {
+		return s.query.Arrived.Add(AnswerAt(aim))
+	}
+	return s.query.Arrived.Add(aim / 4)
+}
+
 // mayTry reports whether the request of a leg may go to one more upstream.
 // Requests that are under way count as sent.
 func (s *scatter) mayTry(l *leg) bool {
@@ -262,9 +275,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.budget(l.service).Spend(now, r.rule, r.budgetShare(now), need) {
-		s.denied++
-		l.notes = append(l.notes, "no budget for another")
-		r.metrics.send(l.service, sendDenied)
+		if !l.waits {
+			s.denied++
+			l.notes = append(l.notes, "no budget for another")
+			r.metrics.send(l.service, sendDenied)
+		}
 		return false
 	}
 	s.extras++
@@ -294,7 +309,7 @@
 		switch {
 		case l.part != nil || l.over:
 		case l.waits && len(l.flights) == 0:
-			s.try(l, now)
+			s.again(l, now)
 		case l.late(now):
 			s.hedge(l, now)
 		}
