--- a/cmd/almonddrift/check.go
+++ b/cmd/almonddrift/check.go
@@ -11,21 +11,26 @@
 
 	"github.com/almonddrift/almonddrift/internal/driftdocument"
 	"github.com/almonddrift/almonddrift/internal/driftsettings"
+	"github.com/almonddrift/almonddrift/platform"
 )
 
-// keySettings stands for settings where a document has its key.
-const keySettings = "settings"
+// Keys that stand for settings where a document has its key: those of the
+// product, and those of the users' platform.
+const (
+	keySettings = "settings"
+	keyPlatform = "platform"
+)
 
 // checkCommand validates a file before it is used.
 type checkCommand struct {
-	File string `arg:"" help:"Settings or a document, as JSON." type:"existingfile"`
+	File string `arg:"" help:"Settings or a document, as JSON, or settings of the platform, as TOML." type:"existingfile"`
 	Key  string `help:"settings, or the key of the document. Without it the content tells."`
 	JSON bool   `help:"Print JSON."`
 }
 
 // Help implements kong.HelpProvider.
 func (c *checkCommand) Help() string {
-	return `Keys: settings, domains, classes, marks, upstreams/SERVICE, versions/SERVICE.
+	return `Keys: settings, platform, domains, classes, marks, upstreams/SERVICE, versions/SERVICE.
 Names the field, its value and what is allowed. Exits with 1 when the file is not valid.
 
 Example: almonddrift check --key classes classes.json`
@@ -66,7 +71,7 @@
 	}
 	failure := validate(key, body)
 	if errors.Is(failure, errors.NotFound) {
-		return fmt.Errorf("%w: --key: value %q is not valid (allowed: settings, domains, classes, marks, "+
+		return fmt.Errorf("%w: --key: value %q is not valid (allowed: settings, platform, domains, classes, marks, "+
 			"upstreams/SERVICE, versions/SERVICE)", errUsage, key)
 	}
 	if err := out.print(c.JSON, newVerdict(c.File, key, failure)); err != nil {
@@ -75,12 +80,15 @@
 	return failure
 }
 
-func validate(key string, body []byte) error {
-	if key == keySettings {
-		_, err := driftsettings.Parse(body)
-		return err
+func validate(key string, body []byte) (err error) {
+	switch key {
+	case keySettings:
+		_, err = driftsettings.Parse(body)
+	case keyPlatform:
+		_, err = platform.Parse(body)
+	default:
+		_, err = driftdocument.Parse(key, body)
 	}
-	_, err := driftdocument.Parse(key, body)
 	return err
 }
 
--- a/internal/driftexchange/exchange.go
+++ b/internal/driftexchange/exchange.go
@@ -45,10 +45,6 @@
 	Parts string
 	// Missing is the number of shards that an answer lacks.
 	Missing string
-	// Incarnation names the upstream that answered a health check.
-	Incarnation string
-	// Cold is how long an upstream stays cold, in milliseconds.
-	Cold string
 }
 
 // Request is a request as the caller sent it.
--- a/internal/driftroute/route.go
+++ b/internal/driftroute/route.go
@@ -75,8 +75,6 @@
 // Service is a set of upstreams that serve the same requests.
 type Service struct {
 	Name string
-	// Health is the path of the health check.
-	Health string
 	// Conns is the number of connections that one upstream accepts from all
 	// VMs together.
 	Conns int
