Send callers to as few VMs of a failure domain as bear the load

Cause: on the grown sites nearly every query waited until its answer was due.

Change: driftentry chooses for each failure domain the fewest VMs, largest first, that bear three times the present load; the directory names them, and they have eight times the weight where connections are divided. VMs tell their size and load (a power of two, so that news is rare). Who was chosen within 10 s keeps the weight, and who starts counts like who serves.

Ruled out: a hop through owners of each shard for all requests; the directory does the same without one.

--- /dev/null
+++ b/internal/driftentry/entry_test.go
@@ -0,0 +1,101 @@
+package driftentry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+// fleet returns VMs of two sizes: the first few of a domain are large.
+func fleet(vms, large int, load float64) []VM {
+	var all []VM
+	for i := range vms {
+		vm := VM{Name: fmt.Sprintf("vm-%d", i), Domain: "d", Size: 2000, Load: load / float64(vms)}
+		if i < large {
+			vm.Size = 20000
+		}
+		all = append(all, vm)
+	}
+	return all
+}
+
+func TestChoose(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		vms  []VM
+		want int
+	}{
+		{"small fleet, all", fleet(3, 0, 100), 3},
+		{"two left", fleet(2, 0, 100), 2},
+		{"large fleet, little load", fleet(26, 2, 500), least},
+		{"load of six", fleet(26, 2, 4000), 6},
+		{"load of all", fleet(26, 2, 1e6), 26},
+		{"sizes not known", []VM{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "e"}}, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) { assert.Len(t, Choose(c.vms), c.want) })
+	}
+	t.Run("largest first", func(t *testing.T) {
+		large := 0
+		for _, vm := range Choose(fleet(26, 2, 500)) {
+			if vm.Size > 2000 {
+				large++
+			}
+		}
+		assert.Equal(t, 2, large)
+	})
+}
+
+// TestChooseBears holds that the chosen VMs bear the load, if all of the fleet
+// do, and that the loss of a VM that was not chosen changes nothing.
+func TestChooseBears(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := fleet(rapid.IntRange(1, 60).Draw(t, "vms"), rapid.IntRange(0, 4).Draw(t, "large"),
+			rapid.Float64Range(0, 30000).Draw(t, "load"))
+		chosen := Choose(vms)
+		assert.GreaterOrEqual(t, len(chosen), min(least, len(vms)))
+		smallest, load := chosen[0].Size, 0.0
+		for _, vm := range chosen {
+			smallest = min(smallest, vm.Size)
+		}
+		for _, vm := range vms {
+			load += vm.Load
+		}
+		if len(chosen) < len(vms) {
+			assert.LessOrEqual(t, headroom*load, smallest*float64(len(chosen))+1e-6)
+		}
+		names := make(map[string]bool)
+		for _, vm := range chosen {
+			names[vm.Name] = true
+		}
+		for i, vm := range vms {
+			if names[vm.Name] || vm.Load > 0 {
+				continue
+			}
+			rest := append(append([]VM{}, vms[:i]...), vms[i+1:]...)
+			assert.Equal(t, chosen, Choose(rest))
+			break
+		}
+	})
+}
+
+func TestSize(t *testing.T) {
+	assert.InDelta(t, 2083, Size(0.192, 20), 1)
+	assert.InDelta(t, 6400, Size(0.192, 0), 1)
+	assert.InDelta(t, 2083, Size(0, 20), 1)
+	assert.Zero(t, Size(0, 0))
+}
+
+func TestRoster(t *testing.T) {
+	var r Roster
+	now := time.Now()
+	assert.False(t, r.Has("a"))
+	r.Note([]VM{{Name: "a"}, {Name: "b"}}, now)
+	r.Note([]VM{{Name: "b"}}, now.Add(rosterSpan))
+	assert.True(t, r.Has("a"), "it holds connections still")
+	r.Note([]VM{{Name: "b"}}, now.Add(rosterSpan+time.Second))
+	assert.False(t, r.Has("a"))
+	assert.True(t, r.Has("b"))
+}
--- /dev/null
+++ b/internal/driftentry/roster.go
@@ -0,0 +1,44 @@
+package driftentry
+
+import (
+	"sync"
+	"time"
+)
+
+// rosterSpan is how long a VM that callers were sent to is remembered. Clients
+// keep the directory's answers for up to 6 s, and upstreams count the
+// connections of a VM without power for several.
+const rosterSpan = 10 * time.Second
+
+// Roster remembers which VMs callers were sent to of late, whether they still
+// serve or not: they hold connections to upstreams. It is safe for concurrent
+// use; the zero value remembers none.
+type Roster struct {
+	mu   sync.Mutex
+	last map[string]time.Time
+}
+
+// Note takes in which VMs callers are sent to now.
+func (r *Roster) Note(chosen []VM, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.last == nil {
+		r.last = make(map[string]time.Time)
+	}
+	for _, vm := range chosen {
+		r.last[vm.Name] = now
+	}
+	for name, at := range r.last {
+		if now.Sub(at) > rosterSpan {
+			delete(r.last, name)
+		}
+	}
+}
+
+// Has reports whether callers were sent to the VM of late.
+func (r *Roster) Has(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.last[name]
+	return ok
+}
--- a/internal/driftgossip/gossip.go
+++ b/internal/driftgossip/gossip.go
@@ -81,6 +81,9 @@
 	Domain  string
 	Address string
 	Boot    uint64
+	// Size is how many sends to upstreams the VM bears a second, 0 if not
+	// known.
+	Size uint32
 }
 
 // Fleet is the membership as one VM sees it. It is safe for concurrent use.
@@ -104,6 +107,7 @@
 	ready   bool
 	blind   bool
 	known   map[string]bool
+	load    uint32
 }
 
 // Change says that another VM has come or gone.
@@ -260,6 +264,26 @@
 	}
 }
 
+// SetLoad tells other VMs how many sends to upstreams this one makes a second.
+// They hear of it when it has doubled or halved.
+func (f *Fleet) SetLoad(sends float64) {
+	f.mu.Lock()
+	level := loadLevel(f.load, sends)
+	changed := f.load != level
+	f.load = level
+	f.mu.Unlock()
+	if changed {
+		f.send(nil)
+	}
+}
+
+// Load returns what this VM tells of its load.
+func (f *Fleet) Load() uint32 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.load
+}
+
 // Leave tells other VMs that this one will stop.
 func (f *Fleet) Leave() {
 	f.mu.Lock()
--- a/internal/driftgossip/member.go
+++ b/internal/driftgossip/member.go
@@ -26,6 +26,11 @@
 	Ready bool
 	// Blind reports whether the VM fails to read the platform.
 	Blind bool
+	// Size is how many sends to upstreams the VM bears a second, 0 if not
+	// known.
+	Size uint32
+	// Load is a bound on how many it makes a second.
+	Load uint32
 	// Revision is the newest revision that the VM is known to hold.
 	Revision int64
 	// Heard is when a datagram of the VM last arrived here, or when this VM
@@ -75,6 +80,7 @@
 		Name: e.GetName(), Domain: e.GetDomain(), Address: e.GetAddress(),
 		Boot: e.GetBoot(), Beat: e.GetBeat(), Dead: e.GetDead(), Leaving: e.GetLeaving(),
 		Ready: e.GetReady(), Blind: e.GetBlind(), Revision: e.GetRevision(),
+		Size: e.GetSize(), Load: e.GetLoad(),
 		Heard: held.Heard, Changed: held.Changed,
 	}
 	if direct {
@@ -102,7 +108,8 @@
 		m.Changed = now
 		t.ring = nil
 	}
-	if !known || m.Changed.Equal(now) || held.Leaving != m.Leaving || held.Ready != m.Ready || held.Blind != m.Blind {
+	if !known || m.Changed.Equal(now) || held.Leaving != m.Leaving || held.Ready != m.Ready ||
+		held.Blind != m.Blind || held.Load != m.Load {
 		t.spread[m.Name] = spreadTimes
 	}
 	t.members[m.Name] = m
@@ -267,9 +274,37 @@
 	return &driftgossippb.Entry{
 		Name: m.Name, Domain: m.Domain, Address: m.Address, Boot: m.Boot, Beat: m.Beat, Dead: m.Dead,
 		Leaving: m.Leaving, Ready: m.Ready, Blind: m.Blind, Revision: m.Revision, Age: unconfirmed,
+		Size: m.Size, Load: m.Load,
 	}
 }
 
+// Levels of load.
+const (
+	// minLoad is the lowest level but none, in sends a second: about one query
+	// a second.
+	minLoad = 64
+	// loadSlack is how far below half of its level a load falls before a lower
+	// one is told.
+	loadSlack = 0.7
+)
+
+// loadLevel returns the power of two that bounds a load, in sends a second. It
+// falls later than it rises, so that a load near a level does not change it
+// all the time.
+func loadLevel(held uint32, sends float64) uint32 {
+	level := uint32(0)
+	if sends > minLoad/2 {
+		level = minLoad
+	}
+	for float64(level) < sends && level > 0 {
+		level *= 2
+	}
+	if level < held && sends > loadSlack*float64(held)/2 {
+		return held
+	}
+	return level
+}
+
 // readers returns the names of the VMs that read the platform for all: the
 // first of each failure domain, up to the bound. VMs that leave or cannot
 // read are passed over while others can.
--- a/internal/driftrelay/decision_test.go
+++ b/internal/driftrelay/decision_test.go
@@ -50,10 +50,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		domains := rapid.IntRange(1, 5).Draw(t, "domains")
 		count := rapid.IntRange(1, 90).Draw(t, "vms")
+		entries := rapid.IntRange(0, count).Draw(t, "entries")
 		total := rapid.IntRange(0, 530).Draw(t, "conns")
 		vms := make([]VM, count)
 		for i := range vms {
-			vms[i] = VM{Name: fmt.Sprintf("vm-%d", i), Domain: fmt.Sprintf("d%d", i%domains)}
+			vms[i] = VM{Name: fmt.Sprintf("vm-%d", i), Domain: fmt.Sprintf("d%d", i%domains), Entry: i < entries}
 		}
 		near := func(domain string) bool { return domain == "d0" }
 		sum := 0
--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -17,6 +17,8 @@
 type VM struct {
 	Name   string
 	Domain string
+	// Entry is set if callers are sent to the VM.
+	Entry bool
 }
 
 // Weights by which the connections of an upstream are divided among VMs.
@@ -25,6 +27,9 @@
 	// failure domain, and those whose domain has no upstream of the service.
 	nearWeight = 2
 	farWeight  = 1
+	// entryWeight multiplies these for VMs that callers are sent to. Others
+	// serve the few callers that hold older addresses.
+	entryWeight = 8
 )
 
 // share returns how many connections this VM may hold to an upstream that
@@ -49,21 +54,26 @@
 }
 
 func weightOf(near func(domain string) bool, vm VM) int {
+	weight := farWeight
 	if near(vm.Domain) {
-		return nearWeight
+		weight = nearWeight
 	}
-	return farWeight
+	if vm.Entry {
+		weight *= entryWeight
+	}
+	return weight
 }
 
 // rank returns the place of this VM in an order that all VMs agree on, in
-// which those that turn to the upstream first come first.
+// which those of more weight come first.
 func rank(upstream string, near func(domain string) bool, self VM, others []VM) int {
 	mine := xxhash.Sum64String(upstream + "/" + self.Name)
+	weight := weightOf(near, self)
 	place := 0
 	for _, vm := range others {
 		before := xxhash.Sum64String(upstream+"/"+vm.Name) < mine
-		if near(vm.Domain) != near(self.Domain) {
-			before = near(vm.Domain)
+		if other := weightOf(near, vm); other != weight {
+			before = other > weight
 		}
 		if before {
 			place++
@@ -132,6 +142,7 @@
 func (r *Relay) Tick() {
 	now := time.Now()
 	r.mu.Lock()
+	r.sends.tick(now)
 	var closing []*driftexchange.Conn
 	for id, e := range r.upstreams {
 		gone := !e.goneAt.IsZero() && now.Sub(e.goneAt) > goneGrace
@@ -169,13 +180,45 @@
 	return closing
 }
 
-// SetVMs tells which other VMs share the upstreams.
-func (r *Relay) SetVMs(others []VM) {
+// SetVMs tells which other VMs share the upstreams, and whether callers are
+// sent to this one.
+func (r *Relay) SetVMs(entry bool, others []VM) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.self.Entry = entry
 	r.others = others
 }
 
+// SendRate returns how many sends to upstreams this VM makes a second.
+func (r *Relay) SendRate() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sends.perSecond
+}
+
+// sendMeter measures a rate that fades over rateSpan.
+type sendMeter struct {
+	count     int
+	since     time.Time
+	perSecond float64
+}
+
+// rateSpan is how long a rate is remembered. Shorter than clients keep the
+// directory's answers, it follows a burst, and longer than its swings at a low
+// rate.
+const rateSpan = 3 * time.Second
+
+// tick takes what was counted since the last call into the rate.
+func (m *sendMeter) tick(now time.Time) {
+	span := now.Sub(m.since)
+	if span <= 0 {
+		return
+	}
+	rate := float64(m.count) / span.Seconds()
+	m.perSecond = rate + (m.perSecond-rate)*decay(span, rateSpan)
+	m.count, m.since = 0, now
+}
+
 // Suspect notes that another VM waits for an upstream in vain.
 func (r *Relay) Suspect(upstream string, span time.Duration) {
 	now := time.Now()
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -51,6 +51,7 @@
 	budgets   map[string]*Budget
 	usual     map[string]time.Duration
 	running   int
+	sends     sendMeter
 }
 
 // Option changes a Relay that New makes.
@@ -108,7 +109,7 @@
 		tell: func(string, time.Duration) {}, age: func() time.Duration { return 0 },
 		upstreams: make(map[string]*entity), services: make(map[string][]*entity),
 		out: make(map[string]time.Time), budgets: make(map[string]*Budget),
-		usual: make(map[string]time.Duration),
+		usual: make(map[string]time.Duration), sends: sendMeter{since: time.Now()},
 	}
 	for _, opt := range opts {
 		opt(r)
--- a/internal/driftrelay/relay_test.go
+++ b/internal/driftrelay/relay_test.go
@@ -46,6 +46,35 @@
 	})
 }
 
+// TestLargeFleet replays a quiet day of 79 VMs, nine of which get the callers:
+// 36 shards, upstreams that pause, and 72 connections to each of them for all
+// VMs. Divided evenly, a VM has one connection at most and every other query
+// is late. The users ask for 97% in time on quiet days.
+func TestLargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := sweep()
+		route.Target = driftroute.Gather{Top: 10, Least: 0.95, Shards: make([]string, 36)}
+		w := newWorld(36, 4, 20*time.Millisecond, route)
+		for i := range w.view.Table.Config.Services {
+			w.view.Table.Config.Services[i].Conns = 72
+		}
+		w.view.Table = driftroute.NewTable(w.view.Table.Config)
+		w.each(func(_ int, s *standIn) { s.pause, s.pauseEvery = 200*time.Millisecond, 4500*time.Millisecond })
+		r := w.relayAmong(79, 9)
+		assertInAim(t, drive(r, route, 300, 60*time.Millisecond), 0.97)
+		closeAll(r)
+	})
+}
+
+// sweep is a class of 20 ms of work and an objective of 150 ms.
+func sweep() driftroute.Route {
+	return driftroute.Route{
+		Name: "sweep", Host: "h", Prefix: "/sweep/", Repeat: true, Attempts: 2,
+		Timeout: 800 * time.Millisecond, Aim: 150 * time.Millisecond,
+		Target: driftroute.Gather{Top: 10, Least: 0.89, Shards: make([]string, 15)},
+	}
+}
+
 // TestRefusals replays two of three upstreams of each shard that refuse 60%
 // of their requests, as on a standard day of Tacada. The users ask for 0.75 in
 // the worst windows.
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -21,6 +21,7 @@
 	now := time.Now()
 	f = &flight{entity: e, started: now, expected: expected}
 	e.flights = append(e.flights, f)
+	r.sends.count++
 	r.checker.NotLeaving(q.Request.ID, e.ID, e.leavingAt, now)
 	r.checker.NotLeaving(q.Request.ID, e.ID, e.goneAt, now)
 	r.checker.NotOut(q.Request.ID, e.ID, r.out[e.Domain], now)
--- a/internal/driftrelay/world_test.go
+++ b/internal/driftrelay/world_test.go
@@ -110,12 +110,18 @@
 
 // relay returns a relay in the first domain, among eight VMs.
 func (w *world) relay(opts ...Option) *Relay {
+	return w.relayAmong(8, 8, opts...)
+}
+
+// relayAmong returns a relay in the first domain, among VMs of which callers
+// are sent to the first few.
+func (w *world) relayAmong(vms, entries int, opts ...Option) *Relay {
 	r := New(VM{Name: "vm-0", Domain: "domain-0"}, testHeaders, append([]Option{WithDialer(w.dial)}, opts...)...)
 	var others []VM
-	for i := 1; i < 8; i++ {
-		others = append(others, VM{Name: fmt.Sprintf("vm-%d", i), Domain: fmt.Sprintf("domain-%d", i%testDomains)})
+	for i := 1; i < vms; i++ {
+		others = append(others, VM{Name: fmt.Sprintf("vm-%d", i), Domain: fmt.Sprintf("domain-%d", i%testDomains), Entry: i < entries})
 	}
-	r.SetVMs(others)
+	r.SetVMs(true, others)
 	r.Update(w.view)
 	return r
 }
