Pass requests on that reach a VM without connections

Change: such a VM hands the whole request to a VM that callers are sent to, over one connection between them; that VM is placed like an upstream, and its answer goes to the caller unchanged. One hop at most. A request is tried at a second VM only if it was surely not sent; an unknown outcome is 502.

Ruled out: a reserve of connections for the other VMs. 16 of 72 remain for 70 of them, so that a query lacks a quarter of its shards.

--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -83,6 +83,7 @@
 
 // pass returns the reply of an upstream unchanged.
 func (s *scatter) pass(reply driftexchange.Reply) Answer {
+	reply.Header.Del(HopProof)
 	return Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body, Cause: CauseServed}
 }
 
@@ -136,9 +137,9 @@
 		code = driftevent.RequestFailed
 	}
 	s.relay.events.Record(code, q.Request.ID, q.Route.Name, fmt.Sprintf(
-		"%s status %d in %d of %d, extra %d, denied %d, refused %d, version %d, view %d ms old, took %.1f ms%s",
+		"%s status %d in %d of %d, extra %d, denied %d, refused %d, version %d, view %d ms old, took %.1f ms%s%s",
 		a.Cause, a.Status, s.in, len(s.legs), s.extras, s.denied, s.refused, q.Table.Config.Version,
-		s.relay.age().Milliseconds(), time.Since(q.Arrived).Seconds()*1000, s.lacking()))
+		s.relay.age().Milliseconds(), time.Since(q.Arrived).Seconds()*1000, s.through(), s.lacking()))
 	return a
 }
 
--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -19,6 +19,9 @@
 	Domain string
 	// Entry is set if callers are sent to the VM.
 	Entry bool
+	// Address is where the VM takes over requests that reached another one,
+	// empty if it does not.
+	Address string
 }
 
 // Weights by which the connections of an upstream are divided among VMs.
@@ -151,6 +154,9 @@
 			delete(r.upstreams, id)
 		}
 	}
+	for _, e := range r.peers {
+		closing = append(closing, e.retire(now, false)...)
+	}
 	r.index()
 	r.mu.Unlock()
 	for _, c := range closing {
@@ -184,9 +190,13 @@
 // sent to this one.
 func (r *Relay) SetVMs(entry bool, others []VM) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.self.Entry = entry
 	r.others = others
+	closing := r.updatePeers(others)
+	r.mu.Unlock()
+	for _, c := range closing {
+		c.Close()
+	}
 }
 
 // SendRate returns how many sends to upstreams this VM makes a second.
@@ -247,15 +257,15 @@
 // that were tried. The caller holds the lock.
 func (r *Relay) place(table *driftroute.Table, service string, tried []*entity, w want, now time.Time) (best choice, ok bool) {
 	published, known := table.Service(service)
-	if !known {
+	if !known && service != hopService {
 		return best, false
 	}
-	for _, e := range r.services[service] {
+	for _, e := range r.of(service) {
 		out := r.out[e.Domain]
 		if slices.Contains(tried, e) || !e.usable(now, out) {
 			continue
 		}
-		if len(e.idle) == 0 && e.open >= r.connShare(e, published.Conns) {
+		if len(e.idle) == 0 && e.open >= r.connBound(e, published.Conns) {
 			continue
 		}
 		if !e.coldRoom(now, published.ColdRate/float64(1+len(r.others))) {
@@ -269,6 +279,15 @@
 	return best, ok
 }
 
+// connBound returns how many connections this VM may hold to an upstream or
+// another VM. The caller holds the lock.
+func (r *Relay) connBound(e *entity, conns int) int {
+	if e.Service == hopService {
+		return hopConns
+	}
+	return r.connShare(e, conns)
+}
+
 // connShare returns how many connections this VM may hold to the upstream. The
 // caller holds the lock.
 func (r *Relay) connShare(e *entity, conns int) int {
@@ -313,7 +332,11 @@
 func (r *Relay) dial(ctx context.Context, e *entity) (*driftexchange.Conn, error) {
 	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	c, err := driftexchange.Dial(bounded, r.dialer, e.Address, r.headers)
+	headers := r.headers
+	if e.Service == hopService {
+		headers = hopHeaders(headers)
+	}
+	c, err := driftexchange.Dial(bounded, r.dialer, e.Address, headers)
 	if err != nil {
 		r.mu.Lock()
 		e.open--
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -48,6 +48,7 @@
 	services  map[string][]*entity
 	out       map[string]time.Time
 	others    []VM
+	peers     []*entity
 	budgets   map[string]*Budget
 	usual     map[string]time.Duration
 	running   int
@@ -189,9 +190,19 @@
 // answer leaves, for its way.
 const answerMargin = 10 * time.Millisecond
 
-// Serve answers a request. Wait is how long the caller waits, 0 if it did
-// not say. The path is the part of the target before any query.
+// Serve answers a request of a caller. Wait is how long the caller waits, 0 if
+// it did not say. The path is the part of the target before any query.
 func (r *Relay) Serve(ctx context.Context, request *driftexchange.Request, path string, arrived time.Time, wait time.Duration) Answer {
+	return r.serve(ctx, request, path, arrived, wait, r.hop)
+}
+
+// ServeHop answers a request that another VM passes on; it goes no further.
+func (r *Relay) ServeHop(ctx context.Context, request *driftexchange.Request, path string, arrived time.Time, wait time.Duration) Answer {
+	return r.serve(ctx, request, path, arrived, wait, func(route *driftroute.Route) (*driftroute.Route, bool) { return route, false })
+}
+
+// serve answers a request; hop decides whether another VM does.
+func (r *Relay) serve(ctx context.Context, request *driftexchange.Request, path string, arrived time.Time, wait time.Duration, hop func(*driftroute.Route) (*driftroute.Route, bool)) Answer {
 	r.mu.Lock()
 	table := r.table
 	full := r.running >= maxRunning
@@ -210,6 +221,7 @@
 	if !ok {
 		return r.noRoute(request, path, table.Config.Version)
 	}
+	route, _ = hop(route)
 	limit := route.Timeout
 	if wait > 0 && (limit <= 0 || wait < limit) {
 		limit = wait
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -81,6 +81,8 @@
 		services = []string{target.Service}
 	case driftroute.Split:
 		services = []string{r.spread.Next(q.Route.Name, target)}
+	case driftroute.Hop:
+		services = []string{hopService}
 	case driftroute.Gather:
 		services = target.Shards
 		s.gather = &target
@@ -184,7 +186,7 @@
 // anyUsable reports whether an upstream of the service may get work once it
 // has room. The caller holds the lock.
 func (r *Relay) anyUsable(service string, tried []*entity, now time.Time) bool {
-	for _, e := range r.services[service] {
+	for _, e := range r.of(service) {
 		if !slices.Contains(tried, e) && e.usable(now, r.out[e.Domain]) {
 			return true
 		}
@@ -335,7 +337,7 @@
 	}
 	first.abandoned = !sent
 	r.mu.Unlock()
-	if stalled {
+	if stalled && !isHop(s.query.Route) {
 		r.tell(first.entity.ID, suspectSpan)
 	}
 	if !sent {
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -61,7 +61,11 @@
 
 func (r *Relay) exchange(f *flight, q *Query, deliver deliverFunc) {
 	deadline := q.End.Add(-deadlineMargin)
-	f.conn.Send(q.Request, f.entity.ID, deadline, func(result driftexchange.Result) {
+	expect := f.entity.ID
+	if isHop(q.Route) {
+		expect = ""
+	}
+	f.conn.Send(q.Request, expect, deadline, func(result driftexchange.Result) {
 		r.finish(f, q, result, deliver)
 	})
 }
@@ -126,7 +130,7 @@
 	typical := r.typical(q.Route)
 	f.entity.learn(now, took, typical)
 	bounded := min(took, 3*typical)
-	r.usual[q.Route.Name] = typical + time.Duration(usualGain*float64(bounded-typical))
+	r.usual[usualKey(q.Route)] = typical + time.Duration(usualGain*float64(bounded-typical))
 }
 
 // usualGain is the weight of a new observation of a class.
@@ -135,12 +139,21 @@
 // typical returns how long a request of the class usually takes at an
 // upstream. The caller holds the lock.
 func (r *Relay) typical(route *driftroute.Route) time.Duration {
-	if usual, ok := r.usual[route.Name]; ok {
+	if usual, ok := r.usual[usualKey(route)]; ok {
 		return usual
 	}
 	return route.Aim / firstUsual
 }
 
+// usualKey tells the times of upstreams apart from those of other VMs, which
+// answer for all shards.
+func usualKey(route *driftroute.Route) string {
+	if isHop(route) {
+		return route.Name + hopService
+	}
+	return route.Name
+}
+
 // firstUsual is the part of its objective that a class is taken to need
 // before it has been observed.
 const firstUsual = 6
--- a/internal/driftroute/route.go
+++ b/internal/driftroute/route.go
@@ -23,7 +23,7 @@
 	"time"
 )
 
-// Target is where the requests of a route go: Single, Split or Gather.
+// Target is where the requests of a route go: Single, Split, Gather or Hop.
 type Target interface{ target() }
 
 // Single sends each request to one upstream of a service.
@@ -49,9 +49,14 @@
 	Least float64
 }
 
+// Hop sends each request to another VM, which serves it. It is never
+// published.
+type Hop struct{}
+
 func (Single) target() {}
 func (Split) target()  {}
 func (Gather) target() {}
+func (Hop) target()    {}
 
 // Route tells how requests of one host and path prefix are served.
 type Route struct {
