--- a/internal/driftevent/writer_test.go
+++ b/internal/driftevent/writer_test.go
@@ -71,7 +71,7 @@
 				seconds := measured.Seconds()
 				assert.LessOrEqual(t, float64(out.lines), lineBurst+LineRate*seconds)
 				assert.LessOrEqual(t, float64(out.bytes), byteBurst+ByteRate*seconds)
-				assert.EqualValues(t, c.lines*int(seconds), out.lines+int(w.Dropped()), "lines are written or counted")
+				assert.Equal(t, c.lines*int(seconds), out.lines+int(w.Dropped()), "lines are written or counted")
 			})
 		})
 	}
