Tell a failure that was passed on as one, in log, metrics and explain

Change: the cause 'passed', event 221, a sentence of its own, and its own label in drift_requests_total. TestHop asserts it.

--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -24,9 +24,9 @@
 	switch {
 	case l.part != nil:
 		s.checkPart(l)
-		return s.pass(*l.part), true
+		return s.pass(*l.part, CauseServed), true
 	case l.over && l.failure != nil:
-		return s.pass(*l.failure), true
+		return s.pass(*l.failure, CausePassed), true
 	case (l.over || late) && !l.ran && l.sent == 0 && !anySent(l):
 		return s.notRun(CauseNowhere), true
 	case l.over && !l.ran:
@@ -83,9 +83,9 @@
 }
 
 // pass returns the reply of an upstream unchanged.
-func (s *scatter) pass(reply driftexchange.Reply) Answer {
+func (s *scatter) pass(reply driftexchange.Reply, cause Cause) Answer {
 	reply.Header.Del(HopProof)
-	return Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body, Cause: CauseServed}
+	return Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body, Cause: cause}
 }
 
 // merge returns the answer made of the parts that are in.
--- a/internal/driftrelay/hop_test.go
+++ b/internal/driftrelay/hop_test.go
@@ -156,6 +156,16 @@
 			w.closeAll(r)
 		})
 	})
+	t.Run("a failure is told as one", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w, r := newHopWorld(rush())
+			w.each(func(_ int, s *standIn) { s.dark = true })
+			a := ask(t.Context(), r, rush())
+			assert.GreaterOrEqual(t, a.Status, http.StatusInternalServerError)
+			assert.Equal(t, CausePassed, a.Cause)
+			w.closeAll(r)
+		})
+	})
 	t.Run("no VM to turn to", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			w, r := newHopWorld(rush())
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -135,6 +135,7 @@
 // The causes of answers.
 const (
 	CauseServed   Cause = "served"   // the upstream's answer, or all parts
+	CausePassed   Cause = "passed"   // a failure of the upstream or the other VM, unchanged
 	CausePartial  Cause = "partial"  // enough parts, but not all
 	CauseNoConfig Cause = "noconfig" // no configuration is known yet
 	CauseNoRoute  Cause = "noroute"  // no route matches
--- a/internal/drifttimeline/explain.go
+++ b/internal/drifttimeline/explain.go
@@ -35,6 +35,7 @@
 // causes explain the first word of the detail of events 220 and 221.
 var causes = map[string]string{
 	"served":   "It was served whole.",
+	"passed":   "The upstream answered with a failure, which was passed on unchanged. If a VM is named after 'through', its own line of the request says why.",
 	"partial":  "It was answered in time with enough parts. The shards behind the semicolons had not answered: what was tried is listed for each.",
 	"noconfig": "The VM had no configuration yet: it had just started and neither the platform nor another VM had answered.",
 	"noroute":  "No route of the version named matches host and path, and the view was recent enough to say so.",
