Say in the log why no upstream could take a request

Change: the note of a leg that ends without an upstream counts them by reason. TestWhyNone fails without it.

--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -279,6 +280,26 @@
 	return best, ok
 }
 
+// whyNone says for the log why no upstream of a service may get a request.
+// The caller holds the lock.
+func (r *Relay) whyNone(service string, tried []*entity, now time.Time) string {
+	var leaving, out, unreachable int
+	known := r.of(service)
+	for _, e := range known {
+		switch {
+		case slices.Contains(tried, e):
+		case !e.goneAt.IsZero() || !e.leavingAt.IsZero():
+			leaving++
+		case !r.out[e.Domain].IsZero():
+			out++
+		case now.Before(e.downUntil):
+			unreachable++
+		}
+	}
+	return fmt.Sprintf("no other upstream of %d: %d tried, %d leaving, %d in a domain that is out, %d not reachable of late",
+		len(known), len(tried), leaving, out, unreachable)
+}
+
 // coldShare returns how many requests a second this VM may send to a cold
 // upstream, 0 if there is no bound. The caller holds the lock.
 func (r *Relay) coldShare(service driftroute.Service) float64 {
--- a/internal/driftrelay/promise_test.go
+++ b/internal/driftrelay/promise_test.go
@@ -115,6 +115,27 @@
 	}
 }
 
+// TestWhyNone names in the log why no upstream could take a request: the lines
+// of a played incident left it out.
+func TestWhyNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 2, rushWork, once())
+		events := driftevent.NewLog("vm-0", 1)
+		r := w.relay(WithChecks(events, driftcheck.NewChecker(events)))
+		long := time.Now().Add(-time.Hour)
+		shard := r.services["shard-0"]
+		shard[0].leavingAt = long
+		shard[1].downUntil = time.Now().Add(time.Hour)
+		r.out[shard[2].Domain] = long
+		a := r.Serve(t.Context(), &driftexchange.Request{ID: "q", Method: http.MethodPost, Target: "/once/", Host: "h"}, "/once/", time.Now(), 0)
+		assert.Equal(t, CauseNowhere, a.Cause)
+		recorded := events.Events()
+		assert.Contains(t, recorded[len(recorded)-1].Detail,
+			"no other upstream of 3: 0 tried, 1 leaving, 1 in a domain that is out, 1 not reachable of late")
+		closeAll(r)
+	})
+}
+
 // TestPromisesHold serves queries and holds that nothing is violated, with
 // cold upstreams whose rate is bounded.
 func TestPromisesHold(t *testing.T) {
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -168,6 +168,9 @@
 		}
 		l.waits = r.anyUsable(l.service, l.tried, now)
 		l.over = !l.waits && len(l.flights) == 0
+		if l.over {
+			l.notes = append(l.notes, r.whyNone(l.service, l.tried, now))
+		}
 		r.mu.Unlock()
 		return false
 	}
