--- a/internal/driftentry/entry_test.go
+++ b/internal/driftentry/entry_test.go
@@ -101,3 +101,19 @@
 	assert.False(t, r.Has("a"))
 	assert.True(t, r.Has("b"))
 }
+
+// BenchmarkChoose measures what each VM does four times a second, for the
+// figures of docs/CAPACITY.md.
+func BenchmarkChoose(b *testing.B) {
+	for _, vms := range []int{88, 880, 8800} {
+		b.Run(fmt.Sprint(vms), func(b *testing.B) {
+			all := fleet(vms, vms/10, 1e5)
+			for i := range all {
+				all[i].Domain = fmt.Sprintf("d%d", i%19)
+			}
+			for b.Loop() {
+				_ = Choose(all)
+			}
+		})
+	}
+}
