Simplify the relay after a second reading

One look at whether upstreams are usable in place of two; whether a request may go on to another VM is a flag, not a function; an exchange without a header for the incarnation does not send one, so that sending needs no case for other VMs; when a query is due is computed in one place. Less in the hot path: the failure domains of a service are indexed with its upstreams, a VM of another weight is not hashed, and lists are rebuilt only after an upstream was dropped. Behaviour is unchanged, the tests are as they were.

--- a/internal/driftexchange/exchange.go
+++ b/internal/driftexchange/exchange.go
@@ -33,7 +33,8 @@
 	Request string
 	// Deadline is the time that is left, in milliseconds.
 	Deadline string
-	// Expect names the incarnation of the upstream that may run a request.
+	// Expect names the incarnation of the upstream that may run a request; it
+	// is empty where upstreams are not told.
 	Expect string
 	// Proof is what an upstream attaches to a reply of its own.
 	Proof string
@@ -123,7 +124,7 @@
 	if r.ID != "" {
 		b.WriteString(h.Request + ": " + r.ID + "\r\n")
 	}
-	if expect != "" {
+	if expect != "" && h.Expect != "" {
 		b.WriteString(h.Expect + ": " + expect + "\r\n")
 	}
 	b.WriteString(h.Deadline + ": " + strconv.FormatInt(max(1, left.Milliseconds()), 10) + "\r\n")
--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -75,11 +75,8 @@
 	weight := weightOf(near, self)
 	place := 0
 	for _, vm := range others {
-		before := xxhash.Sum64String(upstream+"/"+vm.Name) < mine
-		if other := weightOf(near, vm); other != weight {
-			before = other > weight
-		}
-		if before {
+		other := weightOf(near, vm)
+		if other > weight || (other == weight && xxhash.Sum64String(upstream+"/"+vm.Name) < mine) {
 			place++
 		}
 	}
@@ -130,11 +127,16 @@
 	}
 }
 
-// index rebuilds the lists of upstreams by service.
+// index rebuilds what is looked up by service.
 func (r *Relay) index() {
 	r.services = make(map[string][]*entity, len(r.services))
+	r.homes = make(map[string]map[string]bool, len(r.homes))
 	for _, e := range r.upstreams {
 		r.services[e.Service] = append(r.services[e.Service], e)
+		if r.homes[e.Service] == nil {
+			r.homes[e.Service] = make(map[string]bool)
+		}
+		r.homes[e.Service][e.Domain] = true
 	}
 	for _, list := range r.services {
 		slices.SortFunc(list, func(a, b *entity) int { return cmp.Compare(a.ID, b.ID) })
@@ -148,6 +150,7 @@
 	r.mu.Lock()
 	r.sends.tick(now)
 	var closing []*driftexchange.Conn
+	held := len(r.upstreams)
 	for id, e := range r.upstreams {
 		gone := !e.goneAt.IsZero() && now.Sub(e.goneAt) > goneGrace
 		closing = append(closing, e.retire(now, gone)...)
@@ -158,7 +161,9 @@
 	for _, e := range r.peers {
 		closing = append(closing, e.retire(now, false)...)
 	}
-	r.index()
+	if len(r.upstreams) < held {
+		r.index()
+	}
 	r.mu.Unlock()
 	for _, c := range closing {
 		c.Close()
@@ -318,10 +323,7 @@
 // connShare returns how many connections this VM may hold to the upstream. The
 // caller holds the lock.
 func (r *Relay) connShare(e *entity, conns int) int {
-	homes := make(map[string]bool)
-	for _, other := range r.services[e.Service] {
-		homes[other.Domain] = true
-	}
+	homes := r.homes[e.Service]
 	near := func(domain string) bool { return domain == e.Domain || !homes[domain] }
 	return share(int(connPart*float64(conns)), e.ID, near, r.self, r.others)
 }
--- a/internal/driftrelay/hop.go
+++ b/internal/driftrelay/hop.go
@@ -45,18 +45,18 @@
 	}
 }
 
-// hop returns the route by which a request goes to another VM, and false if
-// this VM serves it.
-func (r *Relay) hop(route *driftroute.Route) (*driftroute.Route, bool) {
+// hop returns the route by which a request goes to another VM, or the route
+// itself if this VM serves it.
+func (r *Relay) hop(route *driftroute.Route) *driftroute.Route {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.self.Entry || len(r.peers) == 0 {
-		return route, false
+		return route
 	}
 	through := *route
 	through.Target = driftroute.Hop{}
 	through.Attempts = 1
-	return &through, true
+	return &through
 }
 
 // isHop reports whether requests of the route go to another VM.
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -46,13 +46,15 @@
 	table     *driftroute.Table
 	upstreams map[string]*entity
 	services  map[string][]*entity
-	out       map[string]time.Time
-	others    []VM
-	peers     []*entity
-	budgets   map[string]*Budget
-	usual     map[string]time.Duration
-	running   int
-	sends     sendMeter
+	// homes are the failure domains with an upstream of a service.
+	homes   map[string]map[string]bool
+	out     map[string]time.Time
+	others  []VM
+	peers   []*entity
+	budgets map[string]*Budget
+	usual   map[string]time.Duration
+	running int
+	sends   sendMeter
 }
 
 // Option changes a Relay that New makes.
@@ -187,6 +189,11 @@
 	End time.Time
 }
 
+// due returns when a query is answered with the parts that are in.
+func (q *Query) due() time.Time {
+	return q.Arrived.Add(AnswerAt(q.Route.Aim))
+}
+
 // answerMargin is how much earlier than the caller's deadline the final
 // answer leaves, for its way.
 const answerMargin = 10 * time.Millisecond
@@ -194,16 +201,16 @@
 // Serve answers a request of a caller. Wait is how long the caller waits, 0 if
 // it did not say. The path is the part of the target before any query.
 func (r *Relay) Serve(ctx context.Context, request *driftexchange.Request, path string, arrived time.Time, wait time.Duration) Answer {
-	return r.serve(ctx, request, path, arrived, wait, r.hop)
+	return r.serve(ctx, request, path, arrived, wait, true)
 }
 
 // ServeHop answers a request that another VM passes on; it goes no further.
 func (r *Relay) ServeHop(ctx context.Context, request *driftexchange.Request, path string, arrived time.Time, wait time.Duration) Answer {
-	return r.serve(ctx, request, path, arrived, wait, func(route *driftroute.Route) (*driftroute.Route, bool) { return route, false })
+	return r.serve(ctx, request, path, arrived, wait, false)
 }
 
-// serve answers a request; hop decides whether another VM does.
-func (r *Relay) serve(ctx context.Context, request *driftexchange.Request, path string, arrived time.Time, wait time.Duration, hop func(*driftroute.Route) (*driftroute.Route, bool)) Answer {
+// serve answers a request. MayHop is set if it may go on to another VM.
+func (r *Relay) serve(ctx context.Context, request *driftexchange.Request, path string, arrived time.Time, wait time.Duration, mayHop bool) Answer {
 	r.mu.Lock()
 	table := r.table
 	full := r.running >= maxRunning
@@ -222,7 +229,9 @@
 	if !ok {
 		return r.noRoute(request, path, table.Config.Version)
 	}
-	route, _ = hop(route)
+	if mayHop {
+		route = r.hop(route)
+	}
 	limit := route.Timeout
 	if wait > 0 && (limit <= 0 || wait < limit) {
 		limit = wait
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -107,7 +107,7 @@
 func (s *scatter) run(ctx context.Context) Answer {
 	now := time.Now()
 	s.start(now)
-	soft := s.query.Arrived.Add(AnswerAt(s.query.Route.Aim))
+	soft := s.query.due()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
@@ -163,10 +163,11 @@
 		last: !s.query.Route.Repeat || l.sent+len(l.flights)+1 >= s.query.Route.Attempts,
 	}, now)
 	if !ok {
-		if waits := r.anyUsable(l.service, l.tried, now); waits && !l.waits {
+		waits := r.anyUsable(l.service, l.tried, now)
+		if waits && !l.waits {
 			l.notes = append(l.notes, "no room at any upstream")
 		}
-		l.waits = r.anyUsable(l.service, l.tried, now)
+		l.waits = waits
 		l.over = !l.waits && len(l.flights) == 0
 		if l.over {
 			l.notes = append(l.notes, r.whyNone(l.service, l.tried, now))
@@ -257,11 +258,10 @@
 // gather, most of whose work is done, until its answer is due, others for a
 // quarter of the objective, so that a refusal is not held back.
 func (s *scatter) budgetUntil() time.Time {
-	aim := s.query.Route.Aim
 	if s.gather != nil {
-		return s.query.Arrived.Add(AnswerAt(aim))
+		return s.query.due()
 	}
-	return s.query.Arrived.Add(aim / 4)
+	return s.query.Arrived.Add(s.query.Route.Aim / 4)
 }
 
 // mayTry reports whether the request of a leg may go to one more upstream.
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -73,11 +73,7 @@
 
 func (r *Relay) exchange(f *flight, q *Query, deliver deliverFunc) {
 	deadline := q.End.Add(-deadlineMargin)
-	expect := f.entity.ID
-	if isHop(q.Route) {
-		expect = ""
-	}
-	f.conn.Send(q.Request, expect, deadline, func(result driftexchange.Result) {
+	f.conn.Send(q.Request, f.entity.ID, deadline, func(result driftexchange.Result) {
 		r.finish(f, q, result, deliver)
 	})
 }
