Divide the fleet's limits by loans, in one package

Cause: the fixed part of the retry budget was divided by the VMs alive in the last window. Of 195 VMs, 15 carry nearly all queries and could spend 33 of 430; the rest lay unused. Two sides of a partition divided it twice after 10 s. A cold upstream could get one request a second from every VM, whatever its published rate.

Change: driftshare holds the division of limits. Each VM owns an equal part, counted over all VMs seen within an hour; entry VMs borrow the parts of the other VMs of their domain over the gossip. A lender gives up its part before it answers and takes it back only once nothing spent under the loan counts. The connections and the cold rate of an upstream are divided by the same function in whole units, kept until the fleet changes.

Ruled out: shares by announced load (the sum passes the limit when load moves; TestLimitIsNeverPassed shows it), shares by heads of the VMs reached (a partition), loans counted from their arrival (a late one is spent after the lender took it back).

Measured: TestLoadedFew, 15 of 195 VMs spend 350 or more of 430 in a window, never above 430; TestColdRate, 40 VMs send exactly the rate, 40 a second before.

--- a/internal/driftgossip/gossip.go
+++ b/internal/driftgossip/gossip.go
@@ -31,6 +31,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/almonddrift/almonddrift/internal/driftgossip/driftgossippb"
+	"github.com/almonddrift/almonddrift/internal/driftshare"
 	"github.com/almonddrift/almonddrift/internal/driftstate"
 )
 
@@ -104,6 +105,7 @@
 	onNewerRevision func()
 	onSuspect       func(upstream string, span time.Duration)
 	onChange        func(MembershipChange)
+	loans           LoanHandler
 	// urgentRounds requests rounds before the next heartbeat, with the suspects
 	// that they report.
 	urgentRounds chan []*driftgossippb.Suspect
@@ -155,6 +157,19 @@
 	return func(f *Fleet) { f.onChange = observe }
 }
 
+// LoanHandler grants and receives loans of parts of the fleet's limits.
+type LoanHandler interface {
+	// Lend answers a request of another VM.
+	Lend(driftshare.Request) (driftshare.Loan, bool)
+	// Accept receives the loan that another VM has granted.
+	Accept(lender string, loan driftshare.Loan)
+}
+
+// WithLoans sets the handler of loans.
+func WithLoans(handler LoanHandler) Option {
+	return func(f *Fleet) { f.loans = handler }
+}
+
 // New returns a Fleet that knows only its seeds, which are UDP addresses. The
 // caller closes the socket.
 func New(self Self, seeds []string, socket net.PacketConn, replica *driftstate.Replica, changesClient ChangesClient, opts ...Option) *Fleet {
@@ -210,6 +225,21 @@
 	return f.table.recent(time.Now())
 }
 
+// KnownVMs returns how many VMs limits of the whole fleet are divided among. A
+// VM that is not reached counts for an hour, and a VM that has just started goes
+// by what the others know.
+func (f *Fleet) KnownVMs() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.table.knownVMs(time.Now())
+	for _, m := range f.table.members {
+		if !m.Dead {
+			known = max(known, int(m.Known))
+		}
+	}
+	return known
+}
+
 // IsPlatformReader implements driftstate.Fleet.
 func (f *Fleet) IsPlatformReader() bool {
 	f.mu.Lock()
@@ -354,6 +384,7 @@
 	if (!known || held.Incarnation != sender.GetBoot()) && f.introductionLimiter.Allow() {
 		f.introduce(sender.GetAddress())
 	}
+	f.handleLoans(message)
 	if f.isSuspectedBy(message) {
 		f.refute(sender.GetAddress())
 	}
--- a/internal/driftgossip/gossip_test.go
+++ b/internal/driftgossip/gossip_test.go
@@ -95,7 +95,7 @@
 	return r[address].ChangesAfter(after), nil
 }
 
-func startFleet(t *testing.T, l *lan, vms int) []*node {
+func startFleet(t *testing.T, l *lan, vms int, opts ...func(i int) Option) []*node {
 	t.Helper()
 	known := make(replicas)
 	var nodes []*node
@@ -105,8 +105,11 @@
 		self := Self{Name: fmt.Sprintf("vm-%02d", i), Domain: fmt.Sprintf("d%d", i%3), Address: address, Incarnation: 1}
 		ctx, cancel := context.WithCancel(t.Context())
 		n := &node{replica: known[address], cancel: cancel, address: address}
-		n.fleet = New(self, []string{"10.0.0.0:7740", "10.9.9.9:7740"}, l.listen(address), n.replica, known,
-			WithNewerRevisionHandler(n.pull))
+		all := []Option{WithNewerRevisionHandler(n.pull)}
+		for _, opt := range opts {
+			all = append(all, opt(i))
+		}
+		n.fleet = New(self, []string{"10.0.0.0:7740", "10.9.9.9:7740"}, l.listen(address), n.replica, known, all...)
 		go n.fleet.Run(ctx)
 		nodes = append(nodes, n)
 	}
--- a/internal/driftgossip/member.go
+++ b/internal/driftgossip/member.go
@@ -34,6 +34,8 @@
 	// Load is an upper bound on how many attempts a second it makes, 0 or a power
 	// of two.
 	Load uint32
+	// Known is how many VMs it has seen alive within knownSpan, itself included.
+	Known uint32
 	// Revision is the newest revision that the VM is known to hold.
 	Revision int64
 	// LastHeard is when a datagram of the VM last arrived, or when this VM started
@@ -49,6 +51,8 @@
 	members map[string]Member
 	// remainingSends counts, by VM, how many more times its last change is sent.
 	remainingSends map[string]int
+	// lastAlive holds when each VM was last known to be alive.
+	lastAlive map[string]time.Time
 	// monitored holds the VMs whose heartbeats this VM waits for.
 	monitored map[string]bool
 	// ring holds the VMs that are alive, including this one, in an order that is
@@ -61,9 +65,14 @@
 // on the published sites.
 const recentlyAliveSpan = 10 * time.Second
 
+// knownSpan is how long a VM counts in the number of VMs among which limits are
+// divided after it was last alive. Regions lose each other for up to an hour,
+// and each side then uses its own part only.
+const knownSpan = time.Hour
+
 func newTable(self Self) *memberTable {
 	return &memberTable{
-		self: self, members: make(map[string]Member),
+		self: self, members: make(map[string]Member), lastAlive: make(map[string]time.Time),
 		remainingSends: make(map[string]int), monitored: make(map[string]bool),
 	}
 }
@@ -83,7 +92,7 @@
 		Name: e.GetName(), Domain: e.GetDomain(), Address: e.GetAddress(),
 		Incarnation: e.GetBoot(), Heartbeat: e.GetBeat(), Dead: e.GetDead(), Leaving: e.GetLeaving(),
 		Ready: e.GetReady(), PlatformUnreadable: e.GetBlind(), Revision: e.GetRevision(),
-		Capacity: e.GetSize(), Load: e.GetLoad(),
+		Capacity: e.GetSize(), Load: e.GetLoad(), Known: e.GetKnown(),
 		LastHeard: held.LastHeard, StatusChanged: held.StatusChanged,
 	}
 	if direct {
@@ -176,7 +185,8 @@
 	return alive
 }
 
-// recent returns the members that were alive within recentlyAliveSpan.
+// recent returns the members that were alive within recentlyAliveSpan, sorted by
+// name.
 func (t *memberTable) recent(now time.Time) []Member {
 	recent := make([]Member, 0, len(t.members))
 	for _, m := range t.members {
@@ -184,9 +194,26 @@
 			recent = append(recent, m)
 		}
 	}
+	slices.SortFunc(recent, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	return recent
 }
 
+// knownVMs returns how many VMs, including this one, were alive within
+// knownSpan, and drops the others.
+func (t *memberTable) knownVMs(now time.Time) int {
+	for name, m := range t.members {
+		if !m.Dead {
+			t.lastAlive[name] = now
+		}
+	}
+	for name, at := range t.lastAlive {
+		if now.Sub(at) > knownSpan {
+			delete(t.lastAlive, name)
+		}
+	}
+	return 1 + len(t.lastAlive)
+}
+
 // ringOrder returns the ring. VMs are sorted by the hash of their names, so
 // that neighbors are unlikely to fail together.
 func (t *memberTable) ringOrder() []Member {
@@ -282,7 +309,7 @@
 	return &driftgossippb.Entry{
 		Name: m.Name, Domain: m.Domain, Address: m.Address, Boot: m.Incarnation, Beat: m.Heartbeat, Dead: m.Dead,
 		Leaving: m.Leaving, Ready: m.Ready, Blind: m.PlatformUnreadable, Revision: m.Revision, Age: unconfirmedAgeMillis,
-		Size: m.Capacity, Load: m.Load,
+		Size: m.Capacity, Load: m.Load, Known: m.Known,
 	}
 }
 
--- a/internal/driftgossip/send.go
+++ b/internal/driftgossip/send.go
@@ -99,7 +99,7 @@
 		Name: f.self.Name, Domain: f.self.Domain, Address: f.self.Address,
 		Boot: f.self.Incarnation, Beat: f.heartbeat, Leaving: f.leaving, Ready: f.ready,
 		Blind: f.platformUnreadable, Revision: revision, Age: unconfirmedAgeMillis,
-		Size: f.self.Capacity, Load: f.load,
+		Size: f.self.Capacity, Load: f.load, Known: uint32(f.table.knownVMs(now)),
 	}
 	if !confirmed.IsZero() {
 		e.Age = uint32(min(now.Sub(confirmed).Milliseconds(), unconfirmedAgeMillis))
--- a/internal/driftrelay/budget.go
+++ b/internal/driftrelay/budget.go
@@ -71,38 +71,30 @@
 	}
 }
 
-// BudgetShare describes this VM's share of the fleet's budget.
-type BudgetShare struct {
-	// VMs is the number of VMs that share the budget.
-	VMs int
-	// RecentlyStarted is set while the VM has not run for a whole window. It then
-	// spends nothing of the fixed part: an earlier incarnation may have spent it,
-	// and the VM may not yet know how many others there are.
-	RecentlyStarted bool
-}
-
-// Spend counts an extra attempt and reports whether the budget allows it.
-func (b *Budget) Spend(now time.Time, r BudgetRule, share BudgetShare, priority RetryPriority) bool {
-	spent := sumBuckets(b.extras, now.Add(-r.Window-bucketWidth), now)
-	if spent+1 > float64(priority)*b.allowance(now, r, share) {
+// Spend counts an extra attempt and reports whether the budget allows it. Part
+// is the fraction of the fixed extra attempts that this VM may use.
+func (b *Budget) Spend(now time.Time, r BudgetRule, part float64, priority RetryPriority) bool {
+	if b.spent(now, r)+1 > float64(priority)*b.allowance(now, r, part) {
 		return false
 	}
 	b.extras = addToBuckets(b.extras, now, r.Window+bucketWidth)
 	return true
 }
 
+// spent returns the extra attempts of the last window.
+func (b *Budget) spent(now time.Time, r BudgetRule) float64 {
+	return sumBuckets(b.extras, now.Add(-r.Window-bucketWidth), now)
+}
+
 // allowance returns this VM's share of the extra attempts of one window, by the
 // largest number of requests in the current and recent windows.
-func (b *Budget) allowance(now time.Time, r BudgetRule, share BudgetShare) float64 {
+func (b *Budget) allowance(now time.Time, r BudgetRule, part float64) float64 {
 	maxRequests := 0.0
 	for _, offset := range []time.Duration{0, r.Window / 2, r.Window} {
 		end := now.Add(-offset)
 		maxRequests = max(maxRequests, sumBuckets(b.requests, end.Add(-r.Window), end))
 	}
-	if share.RecentlyStarted {
-		return r.Ratio * maxRequests
-	}
-	return r.Ratio*maxRequests + r.FixedExtra/float64(max(1, share.VMs))
+	return r.Ratio*maxRequests + r.FixedExtra*part
 }
 
 // addToBuckets counts an event at the given time, and drops buckets that are
--- a/internal/driftrelay/decision_test.go
+++ b/internal/driftrelay/decision_test.go
@@ -9,6 +9,10 @@
 
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
+
+	"github.com/almonddrift/almonddrift/internal/driftexchange"
+	"github.com/almonddrift/almonddrift/internal/driftroute"
+	"github.com/almonddrift/almonddrift/internal/driftshare"
 )
 
 // TestMergeTop compares the result with that of sorting all records.
@@ -44,9 +48,9 @@
 	}
 }
 
-// TestConnsOfVM checks that the connections of all VMs add up to what an
+// TestUnitsOfVMs checks that the connections of all VMs add up to what an
 // upstream accepts, under any membership.
-func TestConnsOfVM(t *testing.T) {
+func TestUnitsOfVMs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		domains := rapid.IntRange(1, 5).Draw(t, "domains")
 		count := rapid.IntRange(1, 90).Draw(t, "vms")
@@ -56,11 +60,16 @@
 		for i := range vms {
 			vms[i] = VM{Name: fmt.Sprintf("vm-%d", i), Domain: fmt.Sprintf("d%d", i%domains), Entry: i < entries}
 		}
-		near := func(domain string) bool { return domain == "d0" }
+		e := newUpstreamState(Upstream{ID: "u", Service: "s", Domain: "d0"}, time.Now())
 		sum := 0
 		for i, self := range vms {
-			others := slices.Concat(vms[:i], vms[i+1:])
-			sum += connsOfVM(total, "u", near, self, others)
+			r := New(self, driftexchange.Headers{})
+			r.upstreams[e.ID] = e
+			r.rebuildIndex()
+			r.SetVMs(self.Entry, slices.Concat(vms[:i], vms[i+1:]))
+			var share unitShare
+			sum += r.units(e, &share, total)
+			assert.Equal(t, r.units(e, &share, total), share.units)
 		}
 		assert.Equal(t, total, sum)
 	})
@@ -93,20 +102,30 @@
 	rule := DefaultBudget()
 	start := time.Now()
 	budgets := make([]Budget, vms)
-	startedAt := start.Add(-time.Hour)
+	var now time.Time
+	ledgers := make([]*driftshare.Ledger, vms)
+	restart := func(opts ...driftshare.LedgerOption) {
+		budgets = make([]Budget, vms)
+		opts = append(opts, driftshare.WithClock(func() time.Duration { return now.Sub(start) }))
+		for i := range ledgers {
+			ledgers[i] = driftshare.NewLedger(fmt.Sprint(i), rule.Window, opts...)
+			ledgers[i].SetVMs(vms)
+		}
+	}
+	now = start.Add(-time.Hour)
+	restart()
 	var requests, extras []time.Time
 	for step := range 30000 {
-		now := start.Add(time.Duration(step) * time.Millisecond)
+		now = start.Add(time.Duration(step) * time.Millisecond)
 		vm := step % vms
 		if slices.Contains(starts, step) {
-			budgets = make([]Budget, vms)
-			startedAt = now
+			restart()
 		}
 		if step%10 < queries {
 			budgets[vm].CountRequest(now, rule)
 			requests = append(requests, now)
 		}
-		if budgets[vm].Spend(now, rule, BudgetShare{VMs: vms, RecentlyStarted: now.Sub(startedAt) < rule.Window}, PriorityRequiredRetry) {
+		if budgets[vm].Spend(now, rule, ledgers[vm].Part(), PriorityRequiredRetry) {
 			extras = append(extras, now)
 		}
 	}
@@ -123,9 +142,15 @@
 // they spent before still counts, and they may not know of each other.
 func TestBudgetAfterStart(t *testing.T) {
 	now := time.Now()
+	elapsed := time.Duration(0)
+	rule := DefaultBudget()
+	ledger := driftshare.NewLedger("vm", rule.Window, driftshare.WithClock(func() time.Duration { return elapsed }))
 	var b Budget
-	assert.False(t, b.Spend(now, DefaultBudget(), BudgetShare{VMs: 1, RecentlyStarted: true}, PriorityRequiredRetry))
-	assert.True(t, b.Spend(now, DefaultBudget(), BudgetShare{VMs: 1}, PriorityRequiredRetry))
+	assert.False(t, b.Spend(now, rule, ledger.Part(), PriorityRequiredRetry))
+	elapsed = rule.Window
+	assert.False(t, b.Spend(now, rule, ledger.Part(), PriorityRequiredRetry), "an earlier incarnation may have lent it")
+	elapsed = 2 * rule.Window
+	assert.True(t, b.Spend(now, rule, ledger.Part(), PriorityRequiredRetry))
 }
 
 func countBetween(times []time.Time, from, to time.Time) int {
@@ -185,3 +210,33 @@
 		})
 	}
 }
+
+// TestColdRate checks that all VMs of a large fleet together send a cold
+// upstream no more than its published rate, when callers press at all of them.
+func TestColdRate(t *testing.T) {
+	const vms = 40
+	for _, rate := range []int{1, 5, 30, 100} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			now := time.Now()
+			sent := 0
+			for self := range vms {
+				r := New(VM{Name: fmt.Sprint(self), Domain: "d", Entry: self < 3}, driftexchange.Headers{})
+				e := newUpstreamState(Upstream{ID: "u", Service: "s", Domain: "d", ColdPeriod: time.Minute}, now)
+				r.upstreams[e.ID] = e
+				r.rebuildIndex()
+				var others []VM
+				for i := range vms {
+					if i != self {
+						others = append(others, VM{Name: fmt.Sprint(i), Domain: "d", Entry: i < 3})
+					}
+				}
+				r.SetVMs(self < 3, others)
+				for r.allowsColdRequest(e, driftroute.Service{ColdRate: float64(rate)}, now) {
+					e.coldSent = addToBuckets(e.coldSent, now, time.Second)
+					sent++
+				}
+			}
+			assert.Equal(t, rate, sent)
+		})
+	}
+}
--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -8,10 +8,9 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/almonddrift/almonddrift/internal/driftexchange"
 	"github.com/almonddrift/almonddrift/internal/driftroute"
+	"github.com/almonddrift/almonddrift/internal/driftshare"
 )
 
 // VM is a VM that uses the same upstreams.
@@ -25,7 +24,8 @@
 	Address string
 }
 
-// Weights that divide the connections of an upstream among VMs.
+// Weights that divide the connections and the cold rate of an upstream among
+// VMs.
 const (
 	// preferredWeight is for VMs that prefer the upstream: those in its failure
 	// domain, and those in a domain without an upstream of the service.
@@ -36,28 +36,9 @@
 	entryWeightFactor = 8
 )
 
-// connsOfVM returns how many connections this VM may hold to an upstream that
-// accepts total connections from all VMs together. Near reports whether the VMs
-// of a failure domain prefer the upstream. The shares of all VMs never exceed
-// the total: the remainder of the division goes to the VMs that rank first, and
-// with fewer connections than VMs, only those get one.
-func connsOfVM(total int, upstream string, near func(domain string) bool, self VM, others []VM) int {
-	weights := connWeight(near, self)
-	for _, vm := range others {
-		weights += connWeight(near, vm)
-	}
-	conns := total * connWeight(near, self) / weights
-	remainder := total - conns
-	for _, vm := range others {
-		remainder -= total * connWeight(near, vm) / weights
-	}
-	if connRank(upstream, near, self, others) < remainder {
-		conns++
-	}
-	return conns
-}
-
-func connWeight(near func(domain string) bool, vm VM) int {
+// owner returns the VM as an owner of an upstream's connections and cold rate.
+// Near reports whether the VMs of a failure domain prefer the upstream.
+func owner(near func(domain string) bool, vm VM) driftshare.Owner {
 	weight := baseWeight
 	if near(vm.Domain) {
 		weight = preferredWeight
@@ -65,22 +46,32 @@
 	if vm.Entry {
 		weight *= entryWeightFactor
 	}
-	return weight
+	return driftshare.Owner{Name: vm.Name, Weight: weight}
 }
 
-// connRank returns the position of this VM in an order that all VMs agree on,
-// in which higher weights come first.
-func connRank(upstream string, near func(domain string) bool, self VM, others []VM) int {
-	ownHash := xxhash.Sum64String(upstream + "/" + self.Name)
-	weight := connWeight(near, self)
-	position := 0
-	for _, vm := range others {
-		other := connWeight(near, vm)
-		if other > weight || (other == weight && xxhash.Sum64String(upstream+"/"+vm.Name) < ownHash) {
-			position++
-		}
+// unitShare is this VM's share of a number of units, computed for one
+// generation of the fleet.
+type unitShare struct {
+	generation uint64
+	total      int
+	units      int
+}
+
+// units returns how many of the total units of an upstream, connections or
+// requests, belong to this VM. The caller holds the lock.
+func (r *Relay) units(e *upstreamState, share *unitShare, total int) int {
+	if share.generation == r.generation && share.total == total {
+		return share.units
+	}
+	domainsWithUpstream := r.serviceDomains[e.Service]
+	near := func(domain string) bool { return domain == e.Domain || !domainsWithUpstream[domain] }
+	others := make([]driftshare.Owner, len(r.others))
+	for i, vm := range r.others {
+		others[i] = owner(near, vm)
 	}
-	return position
+	units := driftshare.Units(total, e.ID, owner(near, r.self), others)
+	*share = unitShare{generation: r.generation, total: total, units: units}
+	return units
 }
 
 // UpdateView applies a new view. Upstreams that it lacks are kept for a grace
@@ -130,6 +121,7 @@
 
 // rebuildIndex rebuilds the maps that are keyed by service.
 func (r *Relay) rebuildIndex() {
+	r.generation++
 	r.services = make(map[string][]*upstreamState, len(r.services))
 	r.serviceDomains = make(map[string]map[string]bool, len(r.serviceDomains))
 	for _, e := range r.upstreams {
@@ -198,6 +190,11 @@
 // to this one.
 func (r *Relay) SetVMs(entry bool, others []VM) {
 	r.mu.Lock()
+	if r.self.Entry == entry && slices.Equal(r.others, others) {
+		r.mu.Unlock()
+		return
+	}
+	r.generation++
 	r.self.Entry = entry
 	r.others = others
 	closing := r.updatePeers(others)
@@ -278,7 +275,7 @@
 		if len(e.idleConns) == 0 && e.openConns >= r.maxConns(e, published.MaxConns) {
 			continue
 		}
-		if !e.allowsColdRequest(now, r.coldShare(published)) {
+		if now.Before(e.coldUntil) && !r.allowsColdRequest(e, published, now) {
 			continue
 		}
 		cost := EstimateCost(e.candidate(now, w, r.self.Domain, !out.IsZero())) + rand.N(costJitter)
@@ -309,10 +306,13 @@
 		len(known), len(tried), leaving, out, unreachable)
 }
 
-// coldShare returns how many requests per second this VM may send to a cold
-// upstream, 0 if there is no limit. The caller holds the lock.
-func (r *Relay) coldShare(service driftroute.Service) float64 {
-	return service.ColdRate / float64(1+len(r.others))
+// coldRate returns how many requests per second this VM may send to a cold
+// upstream, and false if there is no limit. The caller holds the lock.
+func (r *Relay) coldRate(e *upstreamState, service driftroute.Service) (perSecond int, limited bool) {
+	if service.ColdRate <= 0 {
+		return 0, false
+	}
+	return r.units(e, &e.coldUnits, int(service.ColdRate)), true
 }
 
 // maxConns returns how many connections this VM may hold to an upstream or
@@ -321,15 +321,7 @@
 	if e.Service == forwardService {
 		return maxForwardConns
 	}
-	return r.connShare(e, conns)
-}
-
-// connShare returns how many connections this VM may hold to the upstream. The
-// caller holds the lock.
-func (r *Relay) connShare(e *upstreamState, conns int) int {
-	domainsWithUpstream := r.serviceDomains[e.Service]
-	near := func(domain string) bool { return domain == e.Domain || !domainsWithUpstream[domain] }
-	return connsOfVM(int(usableConnShare*float64(conns)), e.ID, near, r.self, r.others)
+	return r.units(e, &e.connUnits, int(usableConnShare*float64(conns)))
 }
 
 // maxFreshIdle is the longest idle time of a connection that may carry a
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -26,6 +26,7 @@
 	"github.com/almonddrift/almonddrift/internal/driftevent"
 	"github.com/almonddrift/almonddrift/internal/driftexchange"
 	"github.com/almonddrift/almonddrift/internal/driftroute"
+	"github.com/almonddrift/almonddrift/internal/driftshare"
 )
 
 // Relay serves requests at one VM. It is safe for concurrent use.
@@ -38,7 +39,7 @@
 	reportSuspect func(upstream string, duration time.Duration)
 	viewAge       func() time.Duration
 	roundRobin    *driftroute.WeightedRoundRobin
-	started       time.Time
+	ledger        *driftshare.Ledger
 	metrics       *Metrics
 	dialer        driftexchange.Dialer
 
@@ -50,11 +51,13 @@
 	serviceDomains map[string]map[string]bool
 	outSince       map[string]time.Time
 	others         []VM
-	peers          []*upstreamState
-	budgets        map[string]*Budget
-	typicalTimes   map[string]time.Duration
-	running        int
-	sendRate       rateMeter
+	// generation counts changes of the VMs and of the upstreams.
+	generation   uint64
+	peers        []*upstreamState
+	budgets      map[string]*Budget
+	typicalTimes map[string]time.Duration
+	running      int
+	sendRate     rateMeter
 }
 
 // Option configures a Relay.
@@ -65,6 +68,12 @@
 	return func(r *Relay) { r.rule = rule }
 }
 
+// WithLedger sets the ledger of this VM's part of the fleet's limits. By default
+// the VM owns them whole.
+func WithLedger(ledger *driftshare.Ledger) Option {
+	return func(r *Relay) { r.ledger = ledger }
+}
+
 // WithChecks sets the recorder of events and the checker of invariants.
 func WithChecks(events driftevent.Recorder, checker *driftcheck.Checker) Option {
 	return func(r *Relay) { r.events, r.checker = events, checker }
@@ -107,7 +116,7 @@
 	r := &Relay{
 		self: self, headers: headers, rule: DefaultBudget(), events: events,
 		checker: driftcheck.NewChecker(events), dialer: driftexchange.DialTCP,
-		roundRobin: driftroute.NewWeightedRoundRobin(), started: time.Now(),
+		roundRobin:    driftroute.NewWeightedRoundRobin(),
 		reportSuspect: func(string, time.Duration) {}, viewAge: func() time.Duration { return 0 },
 		upstreams: make(map[string]*upstreamState), services: make(map[string][]*upstreamState),
 		outSince: make(map[string]time.Time), budgets: make(map[string]*Budget),
@@ -116,6 +125,9 @@
 	for _, opt := range opts {
 		opt(r)
 	}
+	if r.ledger == nil {
+		r.ledger = driftshare.NewLedger(self.Name, r.rule.Window, driftshare.WithFirstStart())
+	}
 	return r
 }
 
@@ -264,10 +276,20 @@
 	return answer
 }
 
-// budgetShare returns this VM's share of the budgets. The caller holds the
-// lock.
-func (r *Relay) budgetShare(now time.Time) BudgetShare {
-	return BudgetShare{VMs: 1 + len(r.others), RecentlyStarted: now.Sub(r.started) < r.rule.Window}
+// Lend grants another VM this VM's part of the fleet's limits, unless callers
+// are sent to this one.
+func (r *Relay) Lend(request driftshare.Request) (loan driftshare.Loan, ok bool) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.self.Entry {
+		return loan, false
+	}
+	spent := 0.0
+	for _, b := range r.budgets {
+		spent = max(spent, b.spent(now, r.rule)/max(1, r.rule.FixedExtra))
+	}
+	return r.ledger.Lend(request, spent)
 }
 
 func (r *Relay) decrementRunning() {
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -285,7 +285,7 @@
 	priority := RetryPriorityOf(failed, s.gather != nil && s.countFailedOrLate() <= s.maxMissing)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.budget(l.service).Spend(now, r.rule, r.budgetShare(now), priority) {
+	if !r.budget(l.service).Spend(now, r.rule, r.ledger.Part(), priority) {
 		if !l.waiting {
 			s.denied++
 			l.notes = append(l.notes, "no budget for another")
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -41,10 +41,9 @@
 // its published rate. The caller holds the lock.
 func (r *Relay) checkCold(q *Query, e *upstreamState, now time.Time) {
 	service, _ := q.Table.Service(e.Service)
-	share := r.coldShare(service)
-	if share > 0 {
+	if perSecond, limited := r.coldRate(e, service); limited {
 		sent := sumBuckets(e.coldSent, now.Add(-time.Second), now)
-		r.checker.WithinColdLimit(q.Request.ID, e.ID, int(sent), int(max(1, share)))
+		r.checker.WithinColdLimit(q.Request.ID, e.ID, int(sent), perSecond)
 	}
 }
 
--- a/internal/driftrelay/upstream.go
+++ b/internal/driftrelay/upstream.go
@@ -81,6 +81,8 @@
 	downUntil    time.Time
 	downBackoff  time.Duration
 	coldSent     []bucket
+	connUnits    unitShare
+	coldUnits    unitShare
 }
 
 // attempt is one request sent to one upstream.
@@ -224,10 +226,8 @@
 }
 
 // allowsColdRequest reports whether a cold upstream can take one more request
-// now, given this VM's share of its rate.
-func (e *upstreamState) allowsColdRequest(now time.Time, share float64) bool {
-	if share <= 0 || now.After(e.coldUntil) {
-		return true
-	}
-	return sumBuckets(e.coldSent, now.Add(-time.Second-bucketWidth), now)+1 <= max(1, share)
+// of this VM now. The caller holds the lock.
+func (r *Relay) allowsColdRequest(e *upstreamState, service driftroute.Service, now time.Time) bool {
+	perSecond, limited := r.coldRate(e, service)
+	return !limited || sumBuckets(e.coldSent, now.Add(-time.Second-bucketWidth), now)+1 <= float64(perSecond)
 }
