Gossip by failure domain, with relays between domains

Cause: at 195 VMs control made nearly all bytes between failure domains: every VM passed every change on to six others five times, half of them in other domains, with a round of its own for each change of the membership; each VM pulled each revision from whichever VM was named first, mostly across domains. Deaths were told by anyone, so that a cut between two domains condemned VMs that others reached.

Change: heartbeats and failure detection stay inside a failure domain. The first two VMs of a domain are its relays: they alone exchange changes of their own domain's members with the relays of the others. Changes go to two random VMs and the relays besides the monitoring ones; requested rounds are merged. A digest in each datagram shows when two views differ, and the members are then asked for. Whether a domain is reached is judged by each domain for itself, and deaths count only from the VM's domain or the receiver's own. Revisions are pulled inside the domain, by relays across it. A VM's start and death are logged in full by the VMs that monitor it, in sums by others (event 107).

--- a/internal/driftevent/catalogue.go
+++ b/internal/driftevent/catalogue.go
@@ -13,6 +13,8 @@
 	VMPaused          Code = 104
 	VMFenced          Code = 105
 	VMUnfenced        Code = 106
+	VMsChanged        Code = 107
+	DomainsChanged    Code = 108
 	OwnerChanged      Code = 110
 	ConfigInForce     Code = 120
 	ConfigRefused     Code = 121
@@ -79,6 +81,8 @@
 	{VMPaused, "vm paused", severityWarning},
 	{VMFenced, "vm fenced", severityWarning},
 	{VMUnfenced, "vm unfenced", severityInfo},
+	{VMsChanged, "vms changed", severityInfo},
+	{DomainsChanged, "domains changed", severityWarning},
 	{OwnerChanged, "owner changed", severityTrace},
 	{ConfigInForce, "config in force", severityInfo},
 	{ConfigRefused, "config refused", severityError},
--- /dev/null
+++ b/internal/driftgossip/domain.go
@@ -0,0 +1,196 @@
+package driftgossip
+
+import (
+	"slices"
+	"time"
+
+	"github.com/almonddrift/almonddrift/internal/driftgossip/driftgossippb"
+)
+
+// Reachability of failure domains. A VM's death is detected inside its domain.
+// Whether a whole domain can be reached is judged by each domain for itself: its
+// relays report the domains that they hear nothing of. A domain that is cut off
+// from some domains only stays alive for the others.
+
+const (
+	// domainProbeAfter is the silence of a domain after which its VMs are probed:
+	// its relays may have just failed.
+	domainProbeAfter = 800 * time.Millisecond
+	// domainDeadAfter is the silence after which a domain counts as unreached.
+	domainDeadAfter = 2200 * time.Millisecond
+	// domainForgetAfter is how long a domain counts as unreached before its VMs
+	// count as dead until they are heard of again.
+	domainForgetAfter = 3 * time.Second
+	// relaySettleTime is how long a VM runs before it acts as a relay: it first has
+	// to know its domain.
+	relaySettleTime = 1500 * time.Millisecond
+	// probesPerDomain is how many VMs of a silent domain are probed in a round.
+	probesPerDomain = 2
+)
+
+// domainTable holds what this VM knows of other failure domains.
+type domainTable struct {
+	// lastHeard is when a datagram from the domain last arrived, or when this VM
+	// became a relay.
+	lastHeard map[string]time.Time
+	// unreachedSince is when the domain was first found unreachable.
+	unreachedSince map[string]time.Time
+	// unreached are the domains that this VM, a relay, hears nothing of.
+	unreached []string
+	relay     bool
+	// startedAt is when this VM started.
+	startedAt time.Time
+	// settled is set once this VM has run for relaySettleTime.
+	settled bool
+	// synced holds the domains whose members were asked for.
+	synced map[string]bool
+}
+
+func newDomainTable() domainTable {
+	return domainTable{
+		lastHeard: make(map[string]time.Time), unreachedSince: make(map[string]time.Time), synced: make(map[string]bool),
+	}
+}
+
+// hear records a datagram from a domain. It reports whether this VM, a relay,
+// had heard nothing of the domain for domainDeadAfter.
+func (t *memberTable) hear(domain string, now time.Time) (returned bool) {
+	last, known := t.domains.lastHeard[domain]
+	t.domains.lastHeard[domain] = now
+	return t.domains.relay && known && domain != t.self.Domain && now.Sub(last) > domainDeadAfter
+}
+
+// trusts reports whether a VM can know what an entry says: that a VM is dead is
+// detected in its domain, or judged by this VM's own.
+func (t *memberTable) trusts(sender, e *driftgossippb.Entry) bool {
+	return !e.GetDead() || sender.GetDomain() == t.self.Domain || sender.GetDomain() == e.GetDomain()
+}
+
+// unreachable reports whether the relays of this domain hear nothing of another
+// one.
+func (t *memberTable) unreachable(domain string) bool {
+	if domain == t.self.Domain || t.fullMesh() {
+		return false
+	}
+	for _, relay := range t.relays(t.self.Domain) {
+		unreached := t.members[relay.Name].Unreached
+		if relay.Name == t.self.Name {
+			unreached = t.domains.unreached
+		}
+		if !slices.Contains(unreached, domain) {
+			return false
+		}
+	}
+	return true
+}
+
+// updateDomains updates which domains are unreached. It returns VMs of silent
+// domains to probe, and reports whether this VM, a relay, has to ask other
+// domains for their members: it has just become a relay, or a domain is new to
+// it.
+func (t *memberTable) updateDomains(now time.Time) (probes []Member, sync bool) {
+	if t.domains.startedAt.IsZero() {
+		t.domains.startedAt = now
+	}
+	t.domains.settled = now.Sub(t.domains.startedAt) >= relaySettleTime
+	relay := t.isRelay()
+	becameRelay := relay && !t.domains.relay
+	t.domains.relay = relay
+	switch {
+	case becameRelay:
+		clear(t.domains.synced)
+		t.relayRecentChanges(now)
+	case !relay:
+		clear(t.relayed)
+	}
+	t.domains.unreached = nil
+	for domain := range t.domains.synced {
+		if len(t.domainRings()[domain]) == 0 {
+			delete(t.domains.synced, domain)
+		}
+	}
+	for domain, ring := range t.domainRings() {
+		switch {
+		case domain == t.self.Domain || !relay:
+			continue
+		case becameRelay || t.domains.lastHeard[domain].IsZero():
+			t.domains.lastHeard[domain] = now
+		}
+		sync = sync || !t.domains.synced[domain]
+		t.domains.synced[domain] = true
+		silence := now.Sub(t.domains.lastHeard[domain])
+		if silence > domainDeadAfter {
+			t.domains.unreached = append(t.domains.unreached, domain)
+		}
+		if silence > domainProbeAfter {
+			probes = append(probes, sample(slices.Clone(ring), probesPerDomain)...)
+		}
+	}
+	probes = append(probes, t.deadDomainProbes(relay)...)
+	slices.Sort(t.domains.unreached)
+	t.forgetUnreached(now)
+	return probes, sync
+}
+
+// relayRecentChanges schedules the recent changes of this VM's domain, which the
+// relay before it may not have sent.
+func (t *memberTable) relayRecentChanges(now time.Time) {
+	for name, m := range t.members {
+		if m.Domain == t.self.Domain && now.Sub(m.StatusChanged) < recentlyAliveSpan {
+			t.relayed[name] = relayTransmissions
+		}
+	}
+}
+
+// deadDomainProbes returns VMs to probe of domains without a live VM.
+func (t *memberTable) deadDomainProbes(relay bool) (probes []Member) {
+	if !relay {
+		return nil
+	}
+	dead := make(map[string][]Member)
+	for _, m := range t.members {
+		if len(t.domainRings()[m.Domain]) == 0 {
+			dead[m.Domain] = append(dead[m.Domain], m)
+		}
+	}
+	for _, vms := range dead {
+		probes = append(probes, sample(vms, probesPerDomain)...)
+	}
+	return probes
+}
+
+// forgetUnreached marks the VMs of domains dead that have long been
+// unreachable. These deaths are not passed on, and any report that such a VM is
+// alive revives it, since its heartbeat is reset.
+func (t *memberTable) forgetUnreached(now time.Time) {
+	unreachable := make(map[string]bool)
+	for domain := range t.domainRings() {
+		unreachable[domain] = t.unreachable(domain)
+	}
+	for domain := range t.domains.unreachedSince {
+		if !unreachable[domain] {
+			delete(t.domains.unreachedSince, domain)
+		}
+	}
+	for domain, lost := range unreachable {
+		since, known := t.domains.unreachedSince[domain]
+		switch {
+		case !lost:
+		case !known:
+			t.domains.unreachedSince[domain] = now
+		case now.Sub(since) > domainForgetAfter:
+			t.forgetDomain(domain, now)
+		}
+	}
+}
+
+func (t *memberTable) forgetDomain(domain string, now time.Time) {
+	for name, m := range t.members {
+		if m.Domain != domain || m.Dead {
+			continue
+		}
+		m.Dead, m.StatusChanged, m.Heartbeat = true, now, 0
+		t.members[name] = m
+		t.rings = nil
+	}
+}
--- a/internal/driftgossip/gossip.go
+++ b/internal/driftgossip/gossip.go
@@ -39,6 +39,8 @@
 const (
 	// heartbeatPeriod is the time between two rounds of heartbeats.
 	heartbeatPeriod = 300 * time.Millisecond
+	// changePeriod is the time between two rounds while changes are to be sent.
+	changePeriod = 100 * time.Millisecond
 	// deadAfter is the silence after which a VM is declared dead: four rounds,
 	// since datagrams get lost.
 	deadAfter = 1300 * time.Millisecond
@@ -52,28 +54,46 @@
 	// fullMeshSize is the largest fleet in which every VM sends heartbeats to all
 	// others.
 	fullMeshSize = 12
-	// sameDomainTargets and otherDomainTargets are how many VMs monitor one VM
-	// from inside and from outside its failure domain.
-	sameDomainTargets  = 3
-	otherDomainTargets = 3
-	// maxRingLookback bounds how far back on the ring a VM looks for the VMs that
-	// it monitors.
-	maxRingLookback = 128
-	// changeTransmissions is how many times a VM forwards each change.
-	changeTransmissions = 5
+	// monitorCount is how many VMs of its failure domain monitor one VM.
+	monitorCount = 4
+	// relaysPerDomain is how many VMs of a failure domain exchange heartbeats and
+	// changes with other domains.
+	relaysPerDomain = 2
+	// rumorCount is how many random VMs of the failure domain changes are sent to
+	// in a round.
+	rumorCount = 2
+	// changeTransmissions is how many rounds of a VM carry each change.
+	changeTransmissions = 4
+	// relayTransmissions is the same from a relay to those of other domains, which
+	// come from each relay.
+	relayTransmissions = 2
+	// minRoundGap is the shortest time between two rounds.
+	minRoundGap = 20 * time.Millisecond
 	// antiEntropyEntries is how many random entries a round sends to a random VM,
 	// so that a VM that missed a change receives it eventually.
 	antiEntropyEntries = 5
 	// maxDatagramEntries bounds the entries of one datagram, so that it fits into
 	// one packet.
 	maxDatagramEntries = 12
+	// maxRoundDatagrams bounds the datagrams of changes of a round to one VM.
+	maxRoundDatagrams = 8
 	// maxIntroductionDatagrams bounds the datagrams that introduce the other
 	// members to a new VM.
 	maxIntroductionDatagrams = 8
-	// introductionsPerSecond limits how many new VMs one VM sends its list of
-	// members to. When a whole fleet starts at once, the remaining members spread as
-	// changes.
-	introductionsPerSecond = 10
+	// maxSyncDatagrams bounds the datagrams that answer a request for members. More
+	// members take several requests, as they are chosen at random.
+	maxSyncDatagrams = 32
+	// introductionsPerSecond limits how many new VMs of its failure domain one VM
+	// sends its list of members to. When a whole fleet starts at once, the remaining
+	// members spread as changes.
+	introductionsPerSecond = 5
+	// referralsPerSecond limits how many new VMs of other failure domains one VM
+	// names members of their own domains to.
+	referralsPerSecond = 100
+	// maxReferralDatagrams bounds the datagrams to one of them.
+	maxReferralDatagrams = 2
+	// referralMemory is how long a VM is not referred again.
+	referralMemory = time.Minute
 	// maxDatagramBytes is the largest datagram that is read.
 	maxDatagramBytes = 4096
 	// maxPlatformReaders is how many VMs read the platform for the whole fleet.
@@ -104,13 +124,16 @@
 	client          ChangesClient
 	onNewerRevision func()
 	onSuspect       func(upstream string, span time.Duration)
-	onChange        func(MembershipChange)
+	onChange        func([]MembershipChange)
+	onDomains       func(unreached []string)
 	loans           LoanHandler
 	// urgentRounds requests rounds before the next heartbeat, with the suspects
 	// that they report.
 	urgentRounds chan []*driftgossippb.Suspect
-	// introductionLimiter enforces introductionsPerSecond.
+	// introductionLimiter and referralLimiter enforce introductionsPerSecond and
+	// referralsPerSecond.
 	introductionLimiter *rate.Limiter
+	referralLimiter     *rate.Limiter
 
 	mu                 sync.Mutex
 	table              *memberTable
@@ -123,12 +146,30 @@
 	observedAlive map[string]bool
 	// load is the announced load level, in attempts a second.
 	load uint32
+	// referred holds the incarnations of VMs of other domains that were referred
+	// to members of their own, and when.
+	referred map[string]referral
+	// agreedAt is when the VMs of a failure domain last had the same digest as this
+	// one, or were asked for their members.
+	agreedAt map[string]time.Time
+	// announce is set while a new revision has not been announced.
+	announce bool
+	// newsSince is when a revision that this VM lacks was first heard of.
+	newsSince time.Time
+}
+
+// referral records that a VM was told of members of its own domain.
+type referral struct {
+	incarnation uint64
+	at          time.Time
 }
 
 // MembershipChange reports that another VM is alive or has died.
 type MembershipChange struct {
 	Member Member
 	Alive  bool
+	// Monitored is set if this VM monitors the other one.
+	Monitored bool
 }
 
 // ChangesClient asks another VM for changes.
@@ -152,11 +193,17 @@
 	return func(f *Fleet) { f.onSuspect = handler }
 }
 
-// WithObserver sets a function to call when a VM becomes alive or dies.
-func WithObserver(observe func(MembershipChange)) Option {
+// WithObserver sets a function to call when VMs become alive or die.
+func WithObserver(observe func([]MembershipChange)) Option {
 	return func(f *Fleet) { f.onChange = observe }
 }
 
+// WithDomainObserver sets a function to call when the failure domains change
+// that this VM, a relay of its own, hears nothing of.
+func WithDomainObserver(observe func(unreached []string)) Option {
+	return func(f *Fleet) { f.onDomains = observe }
+}
+
 // LoanHandler grants and receives loans of parts of the fleet's limits.
 type LoanHandler interface {
 	// Lend answers a request of another VM.
@@ -175,10 +222,12 @@
 func New(self Self, seeds []string, socket net.PacketConn, replica *driftstate.Replica, changesClient ChangesClient, opts ...Option) *Fleet {
 	f := &Fleet{
 		self: self, seeds: seeds, socket: socket, replica: replica, client: changesClient,
-		onNewerRevision: func() {}, onSuspect: func(string, time.Duration) {}, onChange: func(MembershipChange) {},
+		onNewerRevision: func() {}, onSuspect: func(string, time.Duration) {}, onChange: func([]MembershipChange) {}, onDomains: func([]string) {},
 		urgentRounds:        make(chan []*driftgossippb.Suspect, 16),
 		introductionLimiter: rate.NewLimiter(introductionsPerSecond, introductionsPerSecond),
+		referralLimiter:     rate.NewLimiter(referralsPerSecond, referralsPerSecond),
 		table:               newTable(self), observedAlive: make(map[string]bool),
+		referred: make(map[string]referral), agreedAt: make(map[string]time.Time),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -193,22 +242,61 @@
 		defer close(done)
 		f.receive(ctx)
 	}()
-	ticker := time.NewTicker(heartbeatPeriod)
-	defer ticker.Stop()
 	f.runRound(nil)
+	timer := time.NewTimer(heartbeatPeriod)
+	defer timer.Stop()
+	last := time.Now()
 	for ctx.Err() == nil {
+		var suspects []*driftgossippb.Suspect
 		select {
 		case <-ctx.Done():
-		case <-ticker.C:
-			f.runRound(nil)
-		case suspects := <-f.urgentRounds:
-			f.runRound(suspects)
+		case <-timer.C:
+		case suspects = <-f.urgentRounds:
+			pause(ctx, minRoundGap-time.Since(last))
 		}
+		f.runRound(append(suspects, f.queuedSuspects()...))
+		last = time.Now()
+		timer.Reset(f.nextRound())
 	}
 	_ = f.socket.SetReadDeadline(time.Now())
 	<-done
 }
 
+// nextRound returns the time until the next round.
+func (f *Fleet) nextRound() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.table.changes)+len(f.table.relayed) > 0 {
+		return changePeriod
+	}
+	return heartbeatPeriod
+}
+
+// queuedSuspects returns the suspects of all rounds that are requested, which
+// become one round.
+func (f *Fleet) queuedSuspects() (suspects []*driftgossippb.Suspect) {
+	for {
+		select {
+		case more := <-f.urgentRounds:
+			suspects = append(suspects, more...)
+		default:
+			return suspects
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // Alive returns the other VMs that are alive, sorted by name.
 func (f *Fleet) Alive() []Member {
 	f.mu.Lock()
@@ -261,20 +349,42 @@
 	return f.client.Changes(ctx, best.Address, after)
 }
 
-// newestHolder returns the VM with the newest revision after the given one.
-// Among equals it prefers a VM of its own failure domain.
+// remotePullDelay is how long a VM that is not a relay waits for a newer revision
+// to reach its failure domain before it asks another domain.
+const remotePullDelay = 500 * time.Millisecond
+
+// newestHolder returns a VM with the newest revision after the given one in this
+// VM's failure domain, if there is one. Else a relay gets one of any domain, and
+// so do others after remotePullDelay.
 func (f *Fleet) newestHolder(after int64) (best Member, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	var near, far []Member
 	for _, m := range f.table.alive() {
-		if m.Revision <= after {
-			continue
+		switch {
+		case m.Revision <= after:
+		case m.Domain == f.self.Domain:
+			near = append(near, m)
+		default:
+			far = append(far, m)
 		}
-		nearer := m.Domain == f.self.Domain && best.Domain != f.self.Domain
-		if !ok || m.Revision > best.Revision || (m.Revision == best.Revision && nearer) {
+	}
+	now := time.Now()
+	if len(near)+len(far) > 0 && f.newsSince.IsZero() {
+		f.newsSince = now
+	}
+	holders := near
+	if len(near) == 0 && (f.table.isRelay() || f.table.fullMesh() || now.Sub(f.newsSince) > remotePullDelay) {
+		holders = far
+	}
+	for _, m := range sample(holders, len(holders)) {
+		if !ok || m.Revision > best.Revision {
 			best, ok = m, true
 		}
 	}
+	if ok || len(near)+len(far) == 0 {
+		f.newsSince = time.Time{}
+	}
 	return best, ok
 }
 
@@ -286,7 +396,12 @@
 }
 
 // AnnounceRevision implements driftstate.Fleet.
-func (f *Fleet) AnnounceRevision() { f.requestRound(nil) }
+func (f *Fleet) AnnounceRevision() {
+	f.mu.Lock()
+	f.announce = true
+	f.mu.Unlock()
+	f.requestRound(nil)
+}
 
 // ReportSuspect tells other VMs that an upstream does not answer.
 func (f *Fleet) ReportSuspect(upstream string, span time.Duration) {
@@ -366,11 +481,15 @@
 	}
 	f.mu.Lock()
 	held, known := f.table.members[sender.GetName()]
+	returned := f.table.hear(sender.GetDomain(), now)
 	f.table.merge(sender, now, true)
 	for _, e := range message.GetEntries() {
-		f.table.merge(e, now, false)
+		if f.table.trusts(sender, e) {
+			f.table.merge(e, now, false)
+		}
 	}
-	changed := f.table.ring == nil
+	changed := f.table.rings == nil
+	resync := f.disagrees(message, now)
 	f.mu.Unlock()
 	if sender.GetAge() < unconfirmedAgeMillis {
 		f.replica.Confirm(sender.GetRevision(), now.Add(-time.Duration(sender.GetAge())*time.Millisecond))
@@ -381,10 +500,14 @@
 	for _, s := range message.GetSuspects() {
 		f.onSuspect(s.GetUpstream(), time.Duration(s.GetSpan())*time.Millisecond)
 	}
-	if (!known || held.Incarnation != sender.GetBoot()) && f.introductionLimiter.Allow() {
-		f.introduce(sender.GetAddress())
-	}
+	f.welcome(sender, !known || held.Incarnation != sender.GetBoot(), now)
 	f.handleLoans(message)
+	if message.GetSync() {
+		f.synchronize(sender.GetAddress(), sender.GetDomain())
+	}
+	if returned || resync {
+		f.writeTo(sender.GetAddress(), func(m *driftgossippb.Datagram) { m.Sync = true })
+	}
 	if f.isSuspectedBy(message) {
 		f.refute(sender.GetAddress())
 	}
@@ -392,3 +515,22 @@
 		f.requestRound(nil)
 	}
 }
+
+// welcome tells a new VM of other members: one of this VM's domain of all, one
+// of another domain of those of its own.
+func (f *Fleet) welcome(sender *driftgossippb.Entry, isNew bool, now time.Time) {
+	f.mu.Lock()
+	near := sender.GetDomain() == f.self.Domain || f.table.settledMesh()
+	last := f.referred[sender.GetName()]
+	referred := last.incarnation == sender.GetBoot() && now.Sub(last.at) < referralMemory
+	f.mu.Unlock()
+	switch {
+	case near && isNew && f.introductionLimiter.Allow():
+		f.introduce(sender.GetAddress())
+	case !near && !referred && f.referralLimiter.Allow():
+		f.mu.Lock()
+		f.referred[sender.GetName()] = referral{incarnation: sender.GetBoot(), at: now}
+		f.mu.Unlock()
+		f.refer(sender.GetAddress(), sender.GetDomain())
+	}
+}
--- a/internal/driftgossip/gossip_test.go
+++ b/internal/driftgossip/gossip_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -21,7 +22,11 @@
 	mu      sync.Mutex
 	sockets map[string]*socket
 	cut     map[string]bool
-	bytes   int
+	// lose reports whether a datagram between two addresses is lost.
+	lose  func(from, to string) bool
+	bytes int
+	// domainBytes counts the bytes between failure domains.
+	domainBytes int
 }
 
 // socket is a net.PacketConn on a lan.
@@ -58,6 +63,12 @@
 	defer s.lan.mu.Unlock()
 	s.lan.bytes += len(data)
 	target, ok := s.lan.sockets[to.String()]
+	if addressDomain(s.address) != addressDomain(to.String()) {
+		s.lan.domainBytes += len(data)
+	}
+	if s.lan.lose != nil && s.lan.lose(s.address, to.String()) {
+		return len(data), nil
+	}
 	if ok && !s.lan.cut[s.address] && !s.lan.cut[target.address] {
 		select {
 		case target.in <- append([]byte(nil), data...):
@@ -67,6 +78,9 @@
 	return len(data), nil
 }
 
+// addressDomain returns the part of a node's address that names its domain.
+func addressDomain(address string) string { return strings.Split(address, ".")[1] }
+
 func (s *socket) SetReadDeadline(time.Time) error {
 	s.once.Do(func() { close(s.closed) })
 	return nil
@@ -96,13 +110,19 @@
 }
 
 func startFleet(t *testing.T, l *lan, vms int, opts ...func(i int) Option) []*node {
+	t.Helper()
+	return startDomains(t, l, vms, 3, opts...)
+}
+
+// startDomains starts a fleet in the given number of failure domains.
+func startDomains(t *testing.T, l *lan, vms, domains int, opts ...func(i int) Option) []*node {
 	t.Helper()
 	known := make(replicas)
 	var nodes []*node
 	for i := range vms {
-		address := fmt.Sprintf("10.%d.0.%d:7740", i%3, i)
+		address := fmt.Sprintf("10.%d.0.%d:7740", i%domains, i)
 		known[address] = driftstate.NewReplica()
-		self := Self{Name: fmt.Sprintf("vm-%02d", i), Domain: fmt.Sprintf("d%d", i%3), Address: address, Incarnation: 1}
+		self := Self{Name: fmt.Sprintf("vm-%02d", i), Domain: fmt.Sprintf("d%d", i%domains), Address: address, Incarnation: 1}
 		ctx, cancel := context.WithCancel(t.Context())
 		n := &node{replica: known[address], cancel: cancel, address: address}
 		all := []Option{WithNewerRevisionHandler(n.pull)}
--- a/internal/driftgossip/member.go
+++ b/internal/driftgossip/member.go
@@ -36,6 +36,9 @@
 	Load uint32
 	// Known is how many VMs it has seen alive within knownSpan, itself included.
 	Known uint32
+	// Unreached are the failure domains that the VM hears nothing of, if it is a
+	// relay of its domain.
+	Unreached []string
 	// Revision is the newest revision that the VM is known to hold.
 	Revision int64
 	// LastHeard is when a datagram of the VM last arrived, or when this VM started
@@ -43,21 +46,28 @@
 	LastHeard time.Time
 	// StatusChanged is when Dead or the incarnation last changed.
 	StatusChanged time.Time
+	// rank is the position on the ring.
+	rank uint64
 }
 
 // memberTable is the membership as one VM sees it.
 type memberTable struct {
 	self    Self
 	members map[string]Member
-	// remainingSends counts, by VM, how many more times its last change is sent.
-	remainingSends map[string]int
+	// changes are sent inside the failure domain, relayed ones from a relay to
+	// those of other domains.
+	changes changeQueue
+	relayed changeQueue
 	// lastAlive holds when each VM was last known to be alive.
 	lastAlive map[string]time.Time
 	// monitored holds the VMs whose heartbeats this VM waits for.
 	monitored map[string]bool
-	// ring holds the VMs that are alive, including this one, in an order that is
-	// the same on all VMs. It is nil after a change.
-	ring []Member
+	// rings holds the VMs of each failure domain that are alive, including this
+	// one, in an order that is the same on all VMs. It is nil after a change.
+	rings map[string][]Member
+	// alive counts the VMs in rings.
+	aliveCount int
+	domains    domainTable
 }
 
 // recentlyAliveSpan is how long a dead VM still counts where a limit is shared,
@@ -73,7 +83,8 @@
 func newTable(self Self) *memberTable {
 	return &memberTable{
 		self: self, members: make(map[string]Member), lastAlive: make(map[string]time.Time),
-		remainingSends: make(map[string]int), monitored: make(map[string]bool),
+		changes: make(changeQueue), relayed: make(changeQueue), monitored: make(map[string]bool),
+		domains: newDomainTable(),
 	}
 }
 
@@ -92,8 +103,11 @@
 		Name: e.GetName(), Domain: e.GetDomain(), Address: e.GetAddress(),
 		Incarnation: e.GetBoot(), Heartbeat: e.GetBeat(), Dead: e.GetDead(), Leaving: e.GetLeaving(),
 		Ready: e.GetReady(), PlatformUnreadable: e.GetBlind(), Revision: e.GetRevision(),
-		Capacity: e.GetSize(), Load: e.GetLoad(), Known: e.GetKnown(),
-		LastHeard: held.LastHeard, StatusChanged: held.StatusChanged,
+		Capacity: e.GetSize(), Load: e.GetLoad(), Known: e.GetKnown(), Unreached: e.GetUnreached(),
+		LastHeard: held.LastHeard, StatusChanged: held.StatusChanged, rank: held.rank,
+	}
+	if !known {
+		m.rank = xxhash.Sum64String(m.Name)
 	}
 	if direct {
 		m.LastHeard = now
@@ -108,7 +122,7 @@
 	switch {
 	case held.Dead || e.GetBoot() != held.Incarnation:
 	case e.GetDead():
-		t.remainingSends[held.Name] = changeTransmissions
+		t.enqueue(held)
 	case direct && e.GetBeat() == held.Heartbeat:
 		held.LastHeard = now
 		t.members[held.Name] = held
@@ -120,15 +134,25 @@
 func (t *memberTable) store(held, m Member, known bool, now time.Time) {
 	if !known || held.Dead != m.Dead || held.Incarnation != m.Incarnation {
 		m.StatusChanged = now
-		t.ring = nil
+		t.rings = nil
 	}
 	if !known || m.StatusChanged.Equal(now) || held.Leaving != m.Leaving || held.Ready != m.Ready ||
-		held.PlatformUnreadable != m.PlatformUnreadable || held.Load != m.Load {
-		t.remainingSends[m.Name] = changeTransmissions
+		held.PlatformUnreadable != m.PlatformUnreadable || held.Load != m.Load || !slices.Equal(held.Unreached, m.Unreached) {
+		t.enqueue(m)
 	}
 	t.members[m.Name] = m
 }
 
+// enqueue schedules the entry of a member for sending: inside this domain, and
+// by a relay to other domains if the member is of its own. Each domain's relays
+// tell the others about their own members only.
+func (t *memberTable) enqueue(m Member) {
+	t.changes[m.Name] = changeTransmissions
+	if m.Domain == t.self.Domain {
+		t.relayed[m.Name] = relayTransmissions
+	}
+}
+
 // supersedes reports whether an entry is newer than the known member. An older
 // incarnation replaces one that is dead: the clock of the VM may have been set
 // back.
@@ -155,14 +179,17 @@
 		switch {
 		case m.Dead && now.Sub(m.StatusChanged) > forgetAfter:
 			delete(t.members, name)
-			delete(t.remainingSends, name)
+			delete(t.changes, name)
+			delete(t.relayed, name)
 			continue
 		case m.Dead || !assigned[name]:
 			continue
 		case !t.monitored[name]:
+			// The VM may not know that this one monitors it, and is probed at once.
 			t.monitored[name] = true
-			m.LastHeard = now
+			m.LastHeard = now.Add(-suspectAfter)
 			t.members[name] = m
+			suspectVMs = append(suspectVMs, m)
 		case now.Sub(m.LastHeard) > deadAfter:
 			m.Dead = true
 			t.store(held, m, true, now)
@@ -173,11 +200,12 @@
 	return suspectVMs
 }
 
-// alive returns the members that are alive, sorted by name.
+// alive returns the members that are alive in domains that can be reached, sorted
+// by name.
 func (t *memberTable) alive() []Member {
 	alive := make([]Member, 0, len(t.members))
 	for _, m := range t.members {
-		if !m.Dead {
+		if !m.Dead && !t.unreachable(m.Domain) {
 			alive = append(alive, m)
 		}
 	}
@@ -214,102 +242,11 @@
 	return 1 + len(t.lastAlive)
 }
 
-// ringOrder returns the ring. VMs are sorted by the hash of their names, so
-// that neighbors are unlikely to fail together.
-func (t *memberTable) ringOrder() []Member {
-	if t.ring == nil {
-		t.ring = append(t.alive(), Member{Name: t.self.Name, Domain: t.self.Domain, Address: t.self.Address})
-		slices.SortFunc(t.ring, func(a, b Member) int {
-			return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
-		})
-	}
-	return t.ring
-}
-
-// heartbeatTargets returns the VMs that this one sends heartbeats to and that
-// monitor it: all others in a small fleet, else the next VMs on the ring, some
-// inside its failure domain and some outside.
-func (t *memberTable) heartbeatTargets() []Member {
-	ring := t.ringOrder()
-	if len(ring) <= fullMeshSize {
-		return slices.DeleteFunc(slices.Clone(ring), func(m Member) bool { return m.Name == t.self.Name })
-	}
-	at := t.ringIndex(ring)
-	var targets []Member
-	near, far := 0, 0
-	for step := 1; step < len(ring) && (near < sameDomainTargets || far < otherDomainTargets); step++ {
-		m := ring[(at+step)%len(ring)]
-		switch {
-		case m.Domain == t.self.Domain && near < sameDomainTargets:
-			near++
-		case m.Domain != t.self.Domain && far < otherDomainTargets:
-			far++
-		default:
-			continue
-		}
-		targets = append(targets, m)
-	}
-	return targets
-}
-
-// ringIndex returns the position of this VM on the ring.
-func (t *memberTable) ringIndex(ring []Member) int {
-	return slices.IndexFunc(ring, func(m Member) bool { return m.Name == t.self.Name })
-}
-
-// monitoredVMs returns the VMs that have this one among their heartbeat
-// targets.
-func (t *memberTable) monitoredVMs() map[string]bool {
-	ring := t.ringOrder()
-	assigned := make(map[string]bool)
-	if len(ring) <= fullMeshSize {
-		for _, m := range ring {
-			assigned[m.Name] = m.Name != t.self.Name
-		}
-		return assigned
-	}
-	at := t.ringIndex(ring)
-	// passed counts the VMs between a candidate and this one by failure domain.
-	passed := make(map[string]int)
-	total := 0
-	for step := 1; step < min(len(ring), maxRingLookback); step++ {
-		m := ring[(at-step+len(ring))%len(ring)]
-		if m.Domain == t.self.Domain {
-			assigned[m.Name] = passed[m.Domain] < sameDomainTargets
-		} else {
-			assigned[m.Name] = total-passed[m.Domain] < otherDomainTargets
-		}
-		passed[m.Domain]++
-		total++
-	}
-	return assigned
-}
-
-// pendingEntries returns the changed entries for the next datagram, the least
-// often sent ones first, and counts them as sent.
-func (t *memberTable) pendingEntries() []*driftgossippb.Entry {
-	names := make([]string, 0, len(t.remainingSends))
-	for name := range t.remainingSends {
-		names = append(names, name)
-	}
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(t.remainingSends[b], t.remainingSends[a]), cmp.Compare(a, b))
-	})
-	var entries []*driftgossippb.Entry
-	for _, name := range names[:min(len(names), maxDatagramEntries)] {
-		entries = append(entries, toEntry(t.members[name]))
-		if t.remainingSends[name]--; t.remainingSends[name] <= 0 {
-			delete(t.remainingSends, name)
-		}
-	}
-	return entries
-}
-
 func toEntry(m Member) *driftgossippb.Entry {
 	return &driftgossippb.Entry{
 		Name: m.Name, Domain: m.Domain, Address: m.Address, Boot: m.Incarnation, Beat: m.Heartbeat, Dead: m.Dead,
 		Leaving: m.Leaving, Ready: m.Ready, Blind: m.PlatformUnreadable, Revision: m.Revision, Age: unconfirmedAgeMillis,
-		Size: m.Capacity, Load: m.Load, Known: m.Known,
+		Size: m.Capacity, Load: m.Load, Known: m.Known, Unreached: m.Unreached,
 	}
 }
 
--- a/internal/driftgossip/send.go
+++ b/internal/driftgossip/send.go
@@ -17,42 +17,111 @@
 	f.mu.Lock()
 	f.heartbeat++
 	suspectVMs := f.table.detectFailures(now)
+	unreachedBefore := f.table.domains.unreached
+	probes, sync := f.table.updateDomains(now)
+	unreached := f.table.domains.unreached
 	changes := f.membershipChanges()
-	message := &driftgossippb.Datagram{Sender: f.selfEntry(now), Suspects: suspects, Entries: f.table.pendingEntries()}
-	targets, deadVMs := f.roundTargets()
-	to, repair := f.antiEntropy(message.GetSender())
+	near := &driftgossippb.Datagram{Sender: f.selfEntry(now), Entries: f.table.changes.take(f.table.members, maxRoundDatagrams*maxDatagramEntries)}
+	nearTargets, plainTargets, deadVMs := f.roundTargets()
+	if len(near.Entries) > 0 || f.announce {
+		nearTargets = append(nearTargets, addresses(f.table.rumorTargets())...)
+	}
+	f.announce = false
+	far := &driftgossippb.Datagram{Sender: near.GetSender(), Sync: sync}
+	near.Digest, far.Digest = f.digest(""), f.digest(f.self.Domain)
+	farTargets := addresses(f.table.relayTargets())
+	if len(farTargets) > 0 {
+		far.Entries = f.table.relayed.take(f.table.members, maxRoundDatagrams*maxDatagramEntries)
+	}
+	repairTargets, repair := f.antiEntropy(near.GetSender())
+	suspectTargets := f.suspectTargets(nearTargets)
 	f.mu.Unlock()
-	suspectVMs = append(suspectVMs, deadVMs...)
-	for _, c := range changes {
-		f.onChange(c)
+	if len(changes) > 0 {
+		f.onChange(changes)
+	}
+	if !slices.Equal(unreachedBefore, unreached) {
+		f.onDomains(unreached)
+	}
+	f.write(near, unique(nearTargets)...)
+	f.write(&driftgossippb.Datagram{Sender: near.GetSender()}, plainTargets...)
+	f.write(far, farTargets...)
+	f.write(repair, repairTargets...)
+	if len(suspects) > 0 {
+		f.write(&driftgossippb.Datagram{Sender: near.GetSender(), Suspects: suspects}, suspectTargets...)
+	}
+	for _, m := range slices.Concat(suspectVMs, deadVMs, probes) {
+		f.sendSuspicion(near.GetSender(), m)
 	}
-	f.write(message, targets...)
-	if len(suspects) == 0 {
-		f.write(repair, to...)
+}
+
+// suspectTargets returns the VMs that suspect upstreams are reported to: those
+// of this VM's domain that send requests to upstreams, or the given heartbeat
+// targets in a small fleet.
+func (f *Fleet) suspectTargets(heartbeatTargets []string) (targets []string) {
+	if f.table.fullMesh() {
+		return heartbeatTargets
 	}
-	for _, m := range suspectVMs {
-		f.sendSuspicion(message.GetSender(), m)
+	ring, _ := f.table.ownRing()
+	for _, m := range ring {
+		if f.table.members[m.Name].Load > 0 && m.Name != f.self.Name && len(targets) < maxSuspectTargets {
+			targets = append(targets, m.Address)
+		}
+	}
+	return targets
+}
+
+// maxSuspectTargets bounds the VMs that a suspect upstream is reported to.
+const maxSuspectTargets = 8
+
+func addresses(members []Member) []string {
+	list := make([]string, len(members))
+	for i, m := range members {
+		list[i] = m.Address
 	}
+	return list
 }
 
-// antiEntropy returns random entries and the random VM that they go to. A small
-// fleet needs none, as all VMs send heartbeats to each other.
+// unique returns the different strings of a list, sorted.
+func unique(list []string) []string {
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// farRepairRounds is the number of rounds between two in which a relay repairs
+// another domain's view of its own.
+const farRepairRounds = 4
+
+// antiEntropy returns random entries and the random VM that they go to, so that
+// a VM that missed a change receives it eventually. They go to a VM of this
+// domain, and now and then from a relay to one of another domain. A small fleet
+// needs none, as all VMs send heartbeats to each other.
 func (f *Fleet) antiEntropy(sender *driftgossippb.Entry) (to []string, message *driftgossippb.Datagram) {
-	message = &driftgossippb.Datagram{Sender: sender}
-	if len(f.table.ringOrder()) <= fullMeshSize {
+	message = &driftgossippb.Datagram{Sender: sender, Digest: f.digest("")}
+	if f.table.fullMesh() {
 		return nil, message
 	}
-	members := make([]Member, 0, len(f.table.members))
+	ring, _ := f.table.ownRing()
+	targets := slices.DeleteFunc(slices.Clone(ring), func(m Member) bool { return m.Name == f.self.Name })
+	far := f.table.isRelay() && f.heartbeat%farRepairRounds == 0
+	if far {
+		targets = f.table.relayTargets()
+		message.Digest = f.digest(f.self.Domain)
+	}
+	var own, all []Member
 	for _, m := range f.table.members {
-		members = append(members, m)
+		all = append(all, m)
+		if m.Domain == f.self.Domain {
+			own = append(own, m)
+		}
 	}
-	for _, m := range sample(members, antiEntropyEntries) {
-		message.Entries = append(message.Entries, toEntry(m))
+	members := sample(all, antiEntropyEntries)
+	if far {
+		members = append(sample(own, antiEntropyEntries-1), sample(all, 1)...)
 	}
-	for _, m := range sample(f.table.alive(), 1) {
-		to = append(to, m.Address)
+	for _, m := range members {
+		message.Entries = append(message.Entries, toEntry(m))
 	}
-	return to, message
+	return addresses(sample(targets, 1)), message
 }
 
 // sendSuspicion tells a VM that it is suspected to be dead, so that it can
@@ -62,7 +131,21 @@
 	f.write(&driftgossippb.Datagram{Sender: sender, Entries: []*driftgossippb.Entry{toEntry(m)}}, m.Address)
 }
 
+// write sends a message, in several datagrams if it has many entries.
 func (f *Fleet) write(message *driftgossippb.Datagram, targets ...string) {
+	if len(targets) == 0 {
+		return
+	}
+	rest := message.Entries
+	for len(rest) > maxDatagramEntries {
+		f.writeDatagram(&driftgossippb.Datagram{Sender: message.GetSender(), Entries: rest[:maxDatagramEntries]}, targets)
+		rest = rest[maxDatagramEntries:]
+	}
+	message.Entries = rest
+	f.writeDatagram(message, targets)
+}
+
+func (f *Fleet) writeDatagram(message *driftgossippb.Datagram, targets []string) {
 	data, err := proto.Marshal(message)
 	if err != nil {
 		return
@@ -81,7 +164,7 @@
 	for name, m := range f.table.members {
 		if f.observedAlive[name] == m.Dead {
 			f.observedAlive[name] = !m.Dead
-			changes = append(changes, MembershipChange{Member: m, Alive: !m.Dead})
+			changes = append(changes, MembershipChange{Member: m, Alive: !m.Dead, Monitored: f.table.monitored[name]})
 		}
 	}
 	for name := range f.observedAlive {
@@ -100,6 +183,7 @@
 		Boot: f.self.Incarnation, Beat: f.heartbeat, Leaving: f.leaving, Ready: f.ready,
 		Blind: f.platformUnreadable, Revision: revision, Age: unconfirmedAgeMillis,
 		Size: f.self.Capacity, Load: f.load, Known: uint32(f.table.knownVMs(now)),
+		Unreached: f.table.domains.unreached,
 	}
 	if !confirmed.IsZero() {
 		e.Age = uint32(min(now.Sub(confirmed).Milliseconds(), unconfirmedAgeMillis))
@@ -128,35 +212,72 @@
 	f.write(message, to)
 }
 
-// introduce sends the known members to a VM that is new or has restarted.
+// introduce sends a new VM the members that are alive.
 func (f *Fleet) introduce(to string) {
+	f.sendMembers(to, f.Alive(), maxIntroductionDatagrams)
+}
+
+// refer sends a new VM of another failure domain members of it, and one of each
+// other domain.
+func (f *Fleet) refer(to, domain string) {
+	f.sendMembers(to, withReferences(f.Alive(), domain), maxReferralDatagrams)
+}
+
+// synchronize sends a VM all members, or those of this VM's failure domain to a
+// VM of another one. Dead ones are included.
+func (f *Fleet) synchronize(to, domain string) {
+	f.mu.Lock()
+	var members []Member
+	for _, m := range f.table.members {
+		if domain == f.self.Domain || m.Domain == f.self.Domain {
+			members = append(members, m)
+		}
+	}
+	f.mu.Unlock()
+	f.sendMembers(to, members, maxSyncDatagrams)
+}
+
+// sendMembers sends a VM members in a bounded number of datagrams.
+func (f *Fleet) sendMembers(to string, members []Member, datagrams int) {
 	f.mu.Lock()
-	alive := f.table.alive()
 	sender := f.selfEntry(time.Now())
 	f.mu.Unlock()
-	for chunk := range slices.Chunk(sample(alive, maxIntroductionDatagrams*maxDatagramEntries), maxDatagramEntries) {
-		message := &driftgossippb.Datagram{Sender: sender}
-		for _, m := range chunk {
-			message.Entries = append(message.Entries, toEntry(m))
+	message := &driftgossippb.Datagram{Sender: sender}
+	for _, m := range sample(members, datagrams*maxDatagramEntries) {
+		message.Entries = append(message.Entries, toEntry(m))
+	}
+	f.write(message, to)
+}
+
+// withReferences returns the members of a domain and one of each other.
+func withReferences(members []Member, domain string) (chosen []Member) {
+	referenced := make(map[string]bool)
+	for _, m := range sample(members, len(members)) {
+		if m.Domain == domain || !referenced[m.Domain] {
+			referenced[m.Domain] = true
+			chosen = append(chosen, m)
 		}
-		f.write(message, to)
 	}
+	return chosen
 }
 
 // roundTargets returns the addresses for a round: those of the VMs that monitor
-// this one, and a random seed that is not the address of a live member. Without
-// monitoring VMs all such seeds are returned. It also returns one dead VM to
-// probe, in case it is back.
-func (f *Fleet) roundTargets() (targets []string, dead []Member) {
+// this one, and, for datagrams without changes, a random seed that is not the
+// address of a live member. Without monitoring VMs all such seeds are returned.
+// Until this VM has settled, VMs of other domains get no changes either. It also
+// returns one dead VM to probe, in case it is back.
+func (f *Fleet) roundTargets() (targets, plain []string, dead []Member) {
 	heard := map[string]bool{f.self.Address: true}
-	for _, m := range f.table.heartbeatTargets() {
-		targets = append(targets, m.Address)
+	near, far := f.table.splitByDomain(f.table.heartbeatTargets())
+	targets, plain = addresses(near), addresses(far)
+	if f.table.settledMesh() {
+		targets, plain = append(targets, plain...), nil
 	}
 	for _, m := range f.table.members {
 		heard[m.Address] = heard[m.Address] || !m.Dead
 	}
 	for _, m := range f.table.members {
-		if !heard[m.Address] {
+		if !heard[m.Address] && (m.Domain == f.self.Domain || f.table.fullMesh()) {
 			dead = append(dead, m)
 		}
 	}
@@ -166,10 +287,10 @@
 			seeds = append(seeds, seed)
 		}
 	}
-	if len(targets) > 0 {
+	if len(targets)+len(plain) > 0 {
 		seeds = sample(seeds, 1)
 	}
-	return append(targets, seeds...), sample(dead, 1)
+	return targets, append(plain, seeds...), sample(dead, 1)
 }
 
 // sample returns up to bound random elements. It shuffles the slice in place.
