Cut off replies without end

Cause: an upstream that sent an endless head, header line, run of 1xx replies or chunked body was read until the deadline, and a body that was given up was drained to its end.

Change: a connection accepts 64 KB of head, 1xx replies included, and 5 MB of body with its framing, and is closed, not drained.

Not done: a bound on the memory of all replies of a VM together.

--- a/internal/driftexchange/conn.go
+++ b/internal/driftexchange/conn.go
@@ -21,6 +21,11 @@
 	readBufferSize = 2048
 	// maxReplyBody is the largest accepted body of a reply, in bytes.
 	maxReplyBody = 4 << 20
+	// maxReplyHead is the largest accepted head of a reply, in bytes, including
+	// informational replies before it.
+	maxReplyHead = 64 << 10
+	// maxFraming is how many bytes more than its content a body may take.
+	maxFraming = 1 << 20
 	// maxSkippedReplies is how many replies to other requests are skipped before
 	// the connection is closed.
 	maxSkippedReplies = 4
@@ -39,6 +44,7 @@
 // result of the last Send has been delivered and Usable reports true.
 type Conn struct {
 	net     net.Conn
+	limit   *limitedConn
 	reader  *bufio.Reader
 	headers Headers
 	closed  chan struct{}
@@ -58,6 +64,22 @@
 	written bool
 }
 
+// limitedConn reads at most a number of bytes from a connection.
+type limitedConn struct {
+	conn net.Conn
+	left int
+}
+
+// Read implements io.Reader.
+func (l *limitedConn) Read(buffer []byte) (n int, err error) {
+	if l.left <= 0 {
+		return 0, ErrTooLong
+	}
+	n, err = l.conn.Read(buffer[:min(len(buffer), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // Dialer opens the network connection to an address.
 type Dialer func(ctx context.Context, address string) (net.Conn, error)
 
@@ -74,8 +96,9 @@
 	if err != nil {
 		return nil, err
 	}
+	limit := &limitedConn{conn: conn}
 	c = &Conn{
-		net: conn, reader: bufio.NewReaderSize(conn, readBufferSize), headers: h,
+		net: conn, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize), headers: h,
 		closed: make(chan struct{}), idleDeadline: time.Now().Add(defaultIdleTimeout), lastUsed: time.Now(),
 	}
 	go c.readLoop()
@@ -191,6 +214,7 @@
 func (c *Conn) readReplies() error {
 	skipped := 0
 	for {
+		c.limit.left = maxReplyHead
 		if _, err := c.reader.Peek(1); err != nil {
 			return err
 		}
@@ -200,13 +224,10 @@
 		if p == nil {
 			return ErrClosed
 		}
-		reply, keep, err := c.readReply(p)
+		reply, keep, err := c.readFinalReply(p)
 		if err != nil {
 			return err
 		}
-		if reply.Status < http.StatusOK {
-			continue
-		}
 		if id := reply.Header.Get(c.headers.Request); id != "" && id != p.id {
 			if skipped++; skipped > maxSkippedReplies || !keep {
 				return errors.Annotatef(ErrClosed, "reply to request %q", id)
@@ -219,6 +240,14 @@
 	}
 }
 
+// readFinalReply reads one reply and the informational ones before it.
+func (c *Conn) readFinalReply(p *pending) (reply Reply, keep bool, err error) {
+	for err == nil && reply.Status < http.StatusOK {
+		reply, keep, err = c.readReply(p)
+	}
+	return reply, keep, err
+}
+
 // readReply reads one reply. Keep reports whether the connection can be reused
 // after it.
 func (c *Conn) readReply(p *pending) (reply Reply, keep bool, err error) {
@@ -226,14 +255,20 @@
 	if err != nil {
 		return reply, false, err
 	}
-	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode < http.StatusOK {
+		return Reply{Status: response.StatusCode}, false, nil
+	}
+	c.limit.left = maxReplyBody + maxFraming
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBody+1))
+	if err == nil && len(body) > maxReplyBody {
+		err = ErrTooLong
+	}
 	if err != nil {
+		// Closing the body would read the rest of it.
+		c.Close()
 		return reply, false, err
 	}
-	if len(body) > maxReplyBody {
-		return reply, false, ErrTooLong
-	}
+	_ = response.Body.Close()
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	reply = Reply{Status: response.StatusCode, Header: response.Header, Body: body, ContentLength: response.ContentLength}
 	c.updateIdleDeadline(response.Header.Get("Keep-Alive"))
--- a/internal/driftexchange/exchange.go
+++ b/internal/driftexchange/exchange.go
@@ -98,7 +98,7 @@
 	ErrDeadline    = errors.ConstError("deadline exceeded")
 	ErrNoSignature = errors.ConstError("reply without signature")
 	ErrRefused     = errors.ConstError("refused by the upstream")
-	ErrTooLong     = errors.ConstError("reply body too large")
+	ErrTooLong     = errors.ConstError("reply too large")
 )
 
 // classifyReply returns the result that a reply means for its request.
--- a/internal/driftgossip/call.go
+++ b/internal/driftgossip/call.go
@@ -15,6 +15,16 @@
 // changesTimeout bounds a call from one VM to another for changes.
 const changesTimeout = 700 * time.Millisecond
 
+// Bounds of messages between VMs, in bytes.
+const (
+	// maxChangesBytes is the largest accepted answer with changes, which may hold
+	// all that is published.
+	maxChangesBytes = 32 << 20
+	// maxRequestBytes is the largest accepted body of a request for changes.
+	maxRequestBytes = 4 << 10
+	maxHeaderBytes  = 64 << 10
+)
+
 // TwirpClient asks other VMs for changes over Twirp.
 type TwirpClient struct {
 	client *http.Client
@@ -23,8 +33,24 @@
 
 // NewTwirpClient returns a client that reaches every VM at the given port.
 func NewTwirpClient(port string) *TwirpClient {
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: changesTimeout}).DialContext}
-	return &TwirpClient{client: &http.Client{Transport: transport, Timeout: changesTimeout}, port: port}
+	transport := &http.Transport{
+		DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: changesTimeout}).DialContext,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+	return &TwirpClient{client: &http.Client{Transport: limitedTransport{transport}, Timeout: changesTimeout}, port: port}
+}
+
+// limitedTransport bounds the bodies of responses, which the generated client
+// reads whole.
+type limitedTransport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (l limitedTransport) RoundTrip(request *http.Request) (response *http.Response, err error) {
+	response, err = l.RoundTripper.RoundTrip(request)
+	if err == nil {
+		response.Body = http.MaxBytesReader(nil, response.Body, maxChangesBytes)
+	}
+	return response, err
 }
 
 // Changes implements ChangesClient. The address is the one that the VM gossips
@@ -59,7 +85,7 @@
 
 // NewHandler returns the HTTP handler for calls from other VMs.
 func NewHandler(replica *driftstate.Replica) http.Handler {
-	return driftgossippb.NewGossipServer(&Server{replica: replica})
+	return http.MaxBytesHandler(driftgossippb.NewGossipServer(&Server{replica: replica}), maxRequestBytes)
 }
 
 // Changes implements driftgossippb.Gossip.
