Drop log lines after the log writer is closed

Cause: the reader of the platform records that it lost the platform after the process has stopped its components and closed the log writer; the process then ended with a panic, "send on closed channel".

Change: a line after Close is dropped and counted.

Measured: TestWriterClosed, which panics on the code before.

--- a/internal/driftevent/writer.go
+++ b/internal/driftevent/writer.go
@@ -27,8 +27,8 @@
 )
 
 // Writer forwards log lines without ever blocking the goroutine that logs.
-// Lines above the rate limits, or that find the queue full because the output
-// stalls, are dropped and counted.
+// Lines above the rate limits, after Close, or that find the queue full because
+// the output stalls, are dropped and counted.
 type Writer struct {
 	out         io.Writer
 	lines       chan []byte
@@ -36,7 +36,10 @@
 	byteLimiter *rate.Limiter
 	dropped     atomic.Uint64
 	done        chan struct{}
-	once        sync.Once
+
+	// mu protects closed, and lines from being closed during a send.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // NewWriter returns a Writer that forwards to out. Close writes the lines that
@@ -57,6 +60,12 @@
 		w.dropped.Add(1)
 		return len(line), nil
 	}
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
@@ -68,10 +77,15 @@
 // Dropped returns the number of lines that were dropped.
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
-// Close writes the queued lines and waits until that is done. Write must not be
-// called after Close.
+// Close writes the queued lines and waits until that is done. Later lines are
+// dropped.
 func (w *Writer) Close() {
-	w.once.Do(func() { close(w.lines) })
+	w.mu.Lock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+	w.mu.Unlock()
 	<-w.done
 }
 
--- a/internal/driftevent/writer_test.go
+++ b/internal/driftevent/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -92,3 +93,25 @@
 		w.Close()
 	})
 }
+
+// TestWriterClosed logs while and after the writer is closed, as goroutines do
+// that end after the process has drained.
+func TestWriterClosed(t *testing.T) {
+	w := NewWriter(io.Discard)
+	var group sync.WaitGroup
+	for range 4 {
+		group.Go(func() {
+			for range 200 {
+				_, err := w.Write([]byte("line\n"))
+				assert.NoError(t, err)
+			}
+		})
+	}
+	w.Close()
+	group.Wait()
+	dropped := w.Dropped()
+	_, err := w.Write([]byte("late\n"))
+	assert.NoError(t, err)
+	assert.Equal(t, dropped+1, w.Dropped(), "a late line counts as dropped")
+	w.Close()
+}
