Find the gateways of another domain after a silence; call them gateways

"Relay" was also the name of what serves requests.

Change: a gateway that hears of a domain again after 0.8 s asks that VM for the members of its domain. The digests are kept until a member changes. Relays of a domain are called gateways.

--- a/internal/driftgossip/digest.go
+++ b/internal/driftgossip/digest.go
@@ -13,9 +13,22 @@
 // for the members: changes are on their way for about as long.
 const disagreementSpan = time.Second
 
+// digestKey identifies the state that digests were computed for.
+type digestKey struct {
+	version        uint64
+	ready, leaving bool
+}
+
 // digest returns the hash of the live members, including this VM, of one failure
 // domain or of all if none is given. Domains that cannot be reached count too.
 func (f *Fleet) digest(domain string) uint64 {
+	key := digestKey{version: f.table.version, ready: f.ready, leaving: f.leaving}
+	if f.digestKey != key || f.digests == nil {
+		f.digests, f.digestKey = make(map[string]uint64), key
+	}
+	if digest, ok := f.digests[domain]; ok {
+		return digest
+	}
 	digest := uint64(1)
 	if domain == "" || domain == f.self.Domain {
 		digest ^= memberHash(f.self.Name, f.self.Incarnation, f.ready, f.leaving)
@@ -25,6 +38,7 @@
 			digest ^= memberHash(m.Name, m.Incarnation, m.Ready, m.Leaving)
 		}
 	}
+	f.digests[domain] = digest
 	return digest
 }
 
--- a/internal/driftgossip/domain.go
+++ b/internal/driftgossip/domain.go
@@ -9,21 +9,21 @@
 
 // Reachability of failure domains. A VM's death is detected inside its domain.
 // Whether a whole domain can be reached is judged by each domain for itself: its
-// relays report the domains that they hear nothing of. A domain that is cut off
+// gateways report the domains that they hear nothing of. A domain that is cut off
 // from some domains only stays alive for the others.
 
 const (
 	// domainProbeAfter is the silence of a domain after which its VMs are probed:
-	// its relays may have just failed.
+	// its gateways may have just failed.
 	domainProbeAfter = 800 * time.Millisecond
 	// domainDeadAfter is the silence after which a domain counts as unreached.
 	domainDeadAfter = 2200 * time.Millisecond
 	// domainForgetAfter is how long a domain counts as unreached before its VMs
 	// count as dead until they are heard of again.
 	domainForgetAfter = 3 * time.Second
-	// relaySettleTime is how long a VM runs before it acts as a relay: it first has
+	// settleTime is how long a VM runs before it acts as a gateway: it first has
 	// to know its domain.
-	relaySettleTime = 1500 * time.Millisecond
+	settleTime = 1500 * time.Millisecond
 	// probesPerDomain is how many VMs of a silent domain are probed in a round.
 	probesPerDomain = 2
 )
@@ -31,16 +31,16 @@
 // domainTable holds what this VM knows of other failure domains.
 type domainTable struct {
 	// lastHeard is when a datagram from the domain last arrived, or when this VM
-	// became a relay.
+	// became a gateway.
 	lastHeard map[string]time.Time
 	// unreachedSince is when the domain was first found unreachable.
 	unreachedSince map[string]time.Time
-	// unreached are the domains that this VM, a relay, hears nothing of.
+	// unreached are the domains that this VM, a gateway, hears nothing of.
 	unreached []string
-	relay     bool
+	gateway   bool
 	// startedAt is when this VM started.
 	startedAt time.Time
-	// settled is set once this VM has run for relaySettleTime.
+	// settled is set once this VM has run for settleTime.
 	settled bool
 	// synced holds the domains whose members were asked for.
 	synced map[string]bool
@@ -52,12 +52,13 @@
 	}
 }
 
-// hear records a datagram from a domain. It reports whether this VM, a relay,
-// had heard nothing of the domain for domainDeadAfter.
+// hear records a datagram from a domain. It reports whether this VM, a gateway,
+// had heard nothing of the domain for domainProbeAfter, so that it may not know
+// the domain's gateways.
 func (t *memberTable) hear(domain string, now time.Time) (returned bool) {
 	last, known := t.domains.lastHeard[domain]
 	t.domains.lastHeard[domain] = now
-	return t.domains.relay && known && domain != t.self.Domain && now.Sub(last) > domainDeadAfter
+	return t.domains.gateway && known && domain != t.self.Domain && now.Sub(last) > domainProbeAfter
 }
 
 // trusts reports whether a VM can know what an entry says: that a VM is dead is
@@ -66,15 +67,15 @@
 	return !e.GetDead() || sender.GetDomain() == t.self.Domain || sender.GetDomain() == e.GetDomain()
 }
 
-// unreachable reports whether the relays of this domain hear nothing of another
+// unreachable reports whether the gateways of this domain hear nothing of another
 // one.
 func (t *memberTable) unreachable(domain string) bool {
 	if domain == t.self.Domain || t.fullMesh() {
 		return false
 	}
-	for _, relay := range t.relays(t.self.Domain) {
-		unreached := t.members[relay.Name].Unreached
-		if relay.Name == t.self.Name {
+	for _, gateway := range t.gateways(t.self.Domain) {
+		unreached := t.members[gateway.Name].Unreached
+		if gateway.Name == t.self.Name {
 			unreached = t.domains.unreached
 		}
 		if !slices.Contains(unreached, domain) {
@@ -85,35 +86,45 @@
 }
 
 // updateDomains updates which domains are unreached. It returns VMs of silent
-// domains to probe, and reports whether this VM, a relay, has to ask other
-// domains for their members: it has just become a relay, or a domain is new to
+// domains to probe, and reports whether this VM, a gateway, has to ask other
+// domains for their members: it has just become a gateway, or a domain is new to
 // it.
 func (t *memberTable) updateDomains(now time.Time) (probes []Member, sync bool) {
 	if t.domains.startedAt.IsZero() {
 		t.domains.startedAt = now
 	}
-	t.domains.settled = now.Sub(t.domains.startedAt) >= relaySettleTime
-	relay := t.isRelay()
-	becameRelay := relay && !t.domains.relay
-	t.domains.relay = relay
+	t.domains.settled = now.Sub(t.domains.startedAt) >= settleTime
+	gateway := t.isGateway()
+	becameGateway := gateway && !t.domains.gateway
+	t.domains.gateway = gateway
 	switch {
-	case becameRelay:
+	case becameGateway:
 		clear(t.domains.synced)
-		t.relayRecentChanges(now)
-	case !relay:
-		clear(t.relayed)
+		t.enqueueRecentChanges(now)
+	case !gateway:
+		clear(t.outbound)
 	}
 	t.domains.unreached = nil
+	if gateway {
+		probes, sync = t.listenToDomains(becameGateway, now)
+	}
+	t.forgetUnreached(now)
+	return probes, sync
+}
+
+// listenToDomains updates, at a gateway, which domains are unreached. The results
+// are those of updateDomains.
+func (t *memberTable) listenToDomains(becameGateway bool, now time.Time) (probes []Member, sync bool) {
 	for domain := range t.domains.synced {
 		if len(t.domainRings()[domain]) == 0 {
 			delete(t.domains.synced, domain)
 		}
 	}
 	for domain, ring := range t.domainRings() {
-		switch {
-		case domain == t.self.Domain || !relay:
+		if domain == t.self.Domain {
 			continue
-		case becameRelay || t.domains.lastHeard[domain].IsZero():
+		}
+		if becameGateway || t.domains.lastHeard[domain].IsZero() {
 			t.domains.lastHeard[domain] = now
 		}
 		sync = sync || !t.domains.synced[domain]
@@ -126,27 +137,22 @@
 			probes = append(probes, sample(slices.Clone(ring), probesPerDomain)...)
 		}
 	}
-	probes = append(probes, t.deadDomainProbes(relay)...)
 	slices.Sort(t.domains.unreached)
-	t.forgetUnreached(now)
-	return probes, sync
+	return append(probes, t.deadDomainProbes()...), sync
 }
 
-// relayRecentChanges schedules the recent changes of this VM's domain, which the
-// relay before it may not have sent.
-func (t *memberTable) relayRecentChanges(now time.Time) {
+// enqueueRecentChanges schedules the recent changes of this VM's domain, which the
+// gateway before it may not have sent.
+func (t *memberTable) enqueueRecentChanges(now time.Time) {
 	for name, m := range t.members {
 		if m.Domain == t.self.Domain && now.Sub(m.StatusChanged) < recentlyAliveSpan {
-			t.relayed[name] = relayTransmissions
+			t.outbound[name] = outboundTransmissions
 		}
 	}
 }
 
 // deadDomainProbes returns VMs to probe of domains without a live VM.
-func (t *memberTable) deadDomainProbes(relay bool) (probes []Member) {
-	if !relay {
-		return nil
-	}
+func (t *memberTable) deadDomainProbes() (probes []Member) {
 	dead := make(map[string][]Member)
 	for _, m := range t.members {
 		if len(t.domainRings()[m.Domain]) == 0 {
@@ -192,5 +198,6 @@
 		m.Dead, m.StatusChanged, m.Heartbeat = true, now, 0
 		t.members[name] = m
 		t.rings = nil
+		t.version++
 	}
 }
--- a/internal/driftgossip/gossip.go
+++ b/internal/driftgossip/gossip.go
@@ -56,17 +56,17 @@
 	fullMeshSize = 12
 	// monitorCount is how many VMs of its failure domain monitor one VM.
 	monitorCount = 4
-	// relaysPerDomain is how many VMs of a failure domain exchange heartbeats and
+	// gatewaysPerDomain is how many VMs of a failure domain exchange heartbeats and
 	// changes with other domains.
-	relaysPerDomain = 2
+	gatewaysPerDomain = 2
 	// rumorCount is how many random VMs of the failure domain changes are sent to
 	// in a round.
 	rumorCount = 2
 	// changeTransmissions is how many rounds of a VM carry each change.
 	changeTransmissions = 4
-	// relayTransmissions is the same from a relay to those of other domains, which
-	// come from each relay.
-	relayTransmissions = 2
+	// outboundTransmissions is the same from a gateway to those of other domains, which
+	// come from each gateway.
+	outboundTransmissions = 2
 	// minRoundGap is the shortest time between two rounds.
 	minRoundGap = 20 * time.Millisecond
 	// antiEntropyEntries is how many random entries a round sends to a random VM,
@@ -152,6 +152,9 @@
 	// agreedAt is when the VMs of a failure domain last had the same digest as this
 	// one, or were asked for their members.
 	agreedAt map[string]time.Time
+	// digests holds the digests by domain, for digestKey.
+	digests   map[string]uint64
+	digestKey digestKey
 	// announce is set while a new revision has not been announced.
 	announce bool
 	// newsSince is when a revision that this VM lacks was first heard of.
@@ -199,7 +202,7 @@
 }
 
 // WithDomainObserver sets a function to call when the failure domains change
-// that this VM, a relay of its own, hears nothing of.
+// that this VM, a gateway of its own, hears nothing of.
 func WithDomainObserver(observe func(unreached []string)) Option {
 	return func(f *Fleet) { f.onDomains = observe }
 }
@@ -266,7 +269,7 @@
 func (f *Fleet) nextRound() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.table.changes)+len(f.table.relayed) > 0 {
+	if len(f.table.changes)+len(f.table.outbound) > 0 {
 		return changePeriod
 	}
 	return heartbeatPeriod
@@ -349,32 +352,24 @@
 	return f.client.Changes(ctx, best.Address, after)
 }
 
-// remotePullDelay is how long a VM that is not a relay waits for a newer revision
+// remotePullDelay is how long a VM that is not a gateway waits for a newer revision
 // to reach its failure domain before it asks another domain.
 const remotePullDelay = 500 * time.Millisecond
 
 // newestHolder returns a VM with the newest revision after the given one in this
-// VM's failure domain, if there is one. Else a relay gets one of any domain, and
+// VM's failure domain, if there is one. Else a gateway gets one of any domain, and
 // so do others after remotePullDelay.
 func (f *Fleet) newestHolder(after int64) (best Member, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var near, far []Member
-	for _, m := range f.table.alive() {
-		switch {
-		case m.Revision <= after:
-		case m.Domain == f.self.Domain:
-			near = append(near, m)
-		default:
-			far = append(far, m)
-		}
-	}
+	newer := slices.DeleteFunc(f.table.alive(), func(m Member) bool { return m.Revision <= after })
+	near, far := f.table.splitByDomain(newer)
 	now := time.Now()
-	if len(near)+len(far) > 0 && f.newsSince.IsZero() {
+	if len(newer) > 0 && f.newsSince.IsZero() {
 		f.newsSince = now
 	}
 	holders := near
-	if len(near) == 0 && (f.table.isRelay() || f.table.fullMesh() || now.Sub(f.newsSince) > remotePullDelay) {
+	if len(near) == 0 && (f.table.isGateway() || f.table.fullMesh() || now.Sub(f.newsSince) > remotePullDelay) {
 		holders = far
 	}
 	for _, m := range sample(holders, len(holders)) {
@@ -382,7 +377,7 @@
 			best, ok = m, true
 		}
 	}
-	if ok || len(near)+len(far) == 0 {
+	if ok || len(newer) == 0 {
 		f.newsSince = time.Time{}
 	}
 	return best, ok
--- a/internal/driftgossip/member.go
+++ b/internal/driftgossip/member.go
@@ -37,7 +37,7 @@
 	// Known is how many VMs it has seen alive within knownSpan, itself included.
 	Known uint32
 	// Unreached are the failure domains that the VM hears nothing of, if it is a
-	// relay of its domain.
+	// gateway of its domain.
 	Unreached []string
 	// Revision is the newest revision that the VM is known to hold.
 	Revision int64
@@ -54,10 +54,10 @@
 type memberTable struct {
 	self    Self
 	members map[string]Member
-	// changes are sent inside the failure domain, relayed ones from a relay to
+	// changes are sent inside the failure domain, outbound ones from a gateway to
 	// those of other domains.
-	changes changeQueue
-	relayed changeQueue
+	changes  changeQueue
+	outbound changeQueue
 	// lastAlive holds when each VM was last known to be alive.
 	lastAlive map[string]time.Time
 	// monitored holds the VMs whose heartbeats this VM waits for.
@@ -67,7 +67,9 @@
 	rings map[string][]Member
 	// alive counts the VMs in rings.
 	aliveCount int
-	domains    domainTable
+	// version grows with each change of a member that others are told of.
+	version uint64
+	domains domainTable
 }
 
 // recentlyAliveSpan is how long a dead VM still counts where a limit is shared,
@@ -83,7 +85,7 @@
 func newTable(self Self) *memberTable {
 	return &memberTable{
 		self: self, members: make(map[string]Member), lastAlive: make(map[string]time.Time),
-		changes: make(changeQueue), relayed: make(changeQueue), monitored: make(map[string]bool),
+		changes: make(changeQueue), outbound: make(changeQueue), monitored: make(map[string]bool),
 		domains: newDomainTable(),
 	}
 }
@@ -138,18 +140,19 @@
 	}
 	if !known || m.StatusChanged.Equal(now) || held.Leaving != m.Leaving || held.Ready != m.Ready ||
 		held.PlatformUnreadable != m.PlatformUnreadable || held.Load != m.Load || !slices.Equal(held.Unreached, m.Unreached) {
+		t.version++
 		t.enqueue(m)
 	}
 	t.members[m.Name] = m
 }
 
 // enqueue schedules the entry of a member for sending: inside this domain, and
-// by a relay to other domains if the member is of its own. Each domain's relays
+// by a gateway to other domains if the member is of its own. Each domain's gateways
 // tell the others about their own members only.
 func (t *memberTable) enqueue(m Member) {
 	t.changes[m.Name] = changeTransmissions
 	if m.Domain == t.self.Domain {
-		t.relayed[m.Name] = relayTransmissions
+		t.outbound[m.Name] = outboundTransmissions
 	}
 }
 
@@ -180,7 +183,7 @@
 		case m.Dead && now.Sub(m.StatusChanged) > forgetAfter:
 			delete(t.members, name)
 			delete(t.changes, name)
-			delete(t.relayed, name)
+			delete(t.outbound, name)
 			continue
 		case m.Dead || !assigned[name]:
 			continue
--- a/internal/driftgossip/ring.go
+++ b/internal/driftgossip/ring.go
@@ -11,9 +11,9 @@
 
 // In a small fleet every VM sends heartbeats to all others. In a large one, a
 // VM sends them to the next VMs on the ring of its failure domain, and these
-// detect when it fails. The first VMs of each ring are its relays: they alone
+// detect when it fails. The first VMs of each ring are its gateways: they alone
 // exchange heartbeats and changes with other domains, the first with the first
-// and so on, so that one copy of a change from each relay enters a domain.
+// and so on, so that one copy of a change from each gateway enters a domain.
 
 // domainRings returns the rings. VMs are sorted by the hash of their names, so
 // that neighbors are unlikely to fail together.
@@ -88,16 +88,16 @@
 	return assigned
 }
 
-// relays returns the relays of a failure domain.
-func (t *memberTable) relays(domain string) []Member {
+// gateways returns the gateways of a failure domain.
+func (t *memberTable) gateways(domain string) []Member {
 	ring := t.domainRings()[domain]
-	return ring[:min(relaysPerDomain, len(ring))]
+	return ring[:min(gatewaysPerDomain, len(ring))]
 }
 
-// isRelay reports whether this VM is a relay of its domain.
-func (t *memberTable) isRelay() bool {
+// isGateway reports whether this VM is a gateway of its domain.
+func (t *memberTable) isGateway() bool {
 	_, at := t.ownRing()
-	return at < relaysPerDomain && t.domains.settled && !t.fullMesh()
+	return at < gatewaysPerDomain && t.domains.settled && !t.fullMesh()
 }
 
 // splitByDomain returns the members of this VM's domain and the others.
@@ -112,23 +112,23 @@
 	return near, far
 }
 
-// relayTargets returns the relays of other domains that this VM, a relay,
+// gatewayTargets returns the gateways of other domains that this VM, a gateway,
 // exchanges heartbeats and changes with.
-func (t *memberTable) relayTargets() (targets []Member) {
-	if !t.isRelay() {
+func (t *memberTable) gatewayTargets() (targets []Member) {
+	if !t.isGateway() {
 		return nil
 	}
 	_, at := t.ownRing()
 	for domain := range t.domainRings() {
 		if domain != t.self.Domain {
-			relays := t.relays(domain)
-			targets = append(targets, relays[min(at, len(relays)-1)])
+			gateways := t.gateways(domain)
+			targets = append(targets, gateways[min(at, len(gateways)-1)])
 		}
 	}
 	return targets
 }
 
-// rumorTargets returns a few VMs of this domain, among them its relays, that
+// rumorTargets returns a few VMs of this domain, among them its gateways, that
 // changes are sent to besides the heartbeat targets, so that they spread in a
 // number of rounds that grows with the logarithm of the domain.
 func (t *memberTable) rumorTargets() []Member {
@@ -136,7 +136,7 @@
 		return nil
 	}
 	ring, _ := t.ownRing()
-	targets := append(sample(slices.Clone(ring), rumorCount), t.relays(t.self.Domain)...)
+	targets := append(sample(slices.Clone(ring), rumorCount), t.gateways(t.self.Domain)...)
 	return slices.DeleteFunc(targets, func(m Member) bool { return m.Name == t.self.Name })
 }
 
--- a/internal/driftgossip/send.go
+++ b/internal/driftgossip/send.go
@@ -29,9 +29,9 @@
 	f.announce = false
 	far := &driftgossippb.Datagram{Sender: near.GetSender(), Sync: sync}
 	near.Digest, far.Digest = f.digest(""), f.digest(f.self.Domain)
-	farTargets := addresses(f.table.relayTargets())
+	farTargets := addresses(f.table.gatewayTargets())
 	if len(farTargets) > 0 {
-		far.Entries = f.table.relayed.take(f.table.members, maxRoundDatagrams*maxDatagramEntries)
+		far.Entries = f.table.outbound.take(f.table.members, maxRoundDatagrams*maxDatagramEntries)
 	}
 	repairTargets, repair := f.antiEntropy(near.GetSender())
 	suspectTargets := f.suspectTargets(nearTargets)
@@ -87,13 +87,13 @@
 	return slices.Compact(list)
 }
 
-// farRepairRounds is the number of rounds between two in which a relay repairs
+// farRepairRounds is the number of rounds between two in which a gateway repairs
 // another domain's view of its own.
 const farRepairRounds = 4
 
 // antiEntropy returns random entries and the random VM that they go to, so that
 // a VM that missed a change receives it eventually. They go to a VM of this
-// domain, and now and then from a relay to one of another domain. A small fleet
+// domain, and now and then from a gateway to one of another domain. A small fleet
 // needs none, as all VMs send heartbeats to each other.
 func (f *Fleet) antiEntropy(sender *driftgossippb.Entry) (to []string, message *driftgossippb.Datagram) {
 	message = &driftgossippb.Datagram{Sender: sender, Digest: f.digest("")}
@@ -102,9 +102,9 @@
 	}
 	ring, _ := f.table.ownRing()
 	targets := slices.DeleteFunc(slices.Clone(ring), func(m Member) bool { return m.Name == f.self.Name })
-	far := f.table.isRelay() && f.heartbeat%farRepairRounds == 0
+	far := f.table.isGateway() && f.heartbeat%farRepairRounds == 0
 	if far {
-		targets = f.table.relayTargets()
+		targets = f.table.gatewayTargets()
 		message.Digest = f.digest(f.self.Domain)
 	}
 	var own, all []Member
