Report suspect upstreams without a round of heartbeats

Cause: each report of a suspect upstream sent a whole round: heartbeats, changes, repair. An entry VM reports several a second.

The referrals of VMs that are gone are dropped.

--- a/internal/driftgossip/gossip.go
+++ b/internal/driftgossip/gossip.go
@@ -28,7 +28,6 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/time/rate"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/almonddrift/almonddrift/internal/driftgossip/driftgossippb"
 	"github.com/almonddrift/almonddrift/internal/driftshare"
@@ -127,9 +126,10 @@
 	onChange        func([]MembershipChange)
 	onDomains       func(unreached []string)
 	loans           LoanHandler
-	// urgentRounds requests rounds before the next heartbeat, with the suspects
-	// that they report.
-	urgentRounds chan []*driftgossippb.Suspect
+	// roundRequests asks for a round before the next heartbeat, suspectReports for
+	// suspects to be reported.
+	roundRequests  chan struct{}
+	suspectReports chan *driftgossippb.Suspect
 	// introductionLimiter and referralLimiter enforce introductionsPerSecond and
 	// referralsPerSecond.
 	introductionLimiter *rate.Limiter
@@ -161,12 +161,6 @@
 	newsSince time.Time
 }
 
-// referral records that a VM was told of members of its own domain.
-type referral struct {
-	incarnation uint64
-	at          time.Time
-}
-
 // MembershipChange reports that another VM is alive or has died.
 type MembershipChange struct {
 	Member Member
@@ -226,7 +220,8 @@
 	f := &Fleet{
 		self: self, seeds: seeds, socket: socket, replica: replica, client: changesClient,
 		onNewerRevision: func() {}, onSuspect: func(string, time.Duration) {}, onChange: func([]MembershipChange) {}, onDomains: func([]string) {},
-		urgentRounds:        make(chan []*driftgossippb.Suspect, 16),
+		roundRequests:       make(chan struct{}, 1),
+		suspectReports:      make(chan *driftgossippb.Suspect, maxQueuedSuspects),
 		introductionLimiter: rate.NewLimiter(introductionsPerSecond, introductionsPerSecond),
 		referralLimiter:     rate.NewLimiter(referralsPerSecond, referralsPerSecond),
 		table:               newTable(self), observedAlive: make(map[string]bool),
@@ -245,61 +240,11 @@
 		defer close(done)
 		f.receive(ctx)
 	}()
-	f.runRound(nil)
-	timer := time.NewTimer(heartbeatPeriod)
-	defer timer.Stop()
-	last := time.Now()
-	for ctx.Err() == nil {
-		var suspects []*driftgossippb.Suspect
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case suspects = <-f.urgentRounds:
-			pause(ctx, minRoundGap-time.Since(last))
-		}
-		f.runRound(append(suspects, f.queuedSuspects()...))
-		last = time.Now()
-		timer.Reset(f.nextRound())
-	}
+	f.runRounds(ctx)
 	_ = f.socket.SetReadDeadline(time.Now())
 	<-done
 }
 
-// nextRound returns the time until the next round.
-func (f *Fleet) nextRound() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(f.table.changes)+len(f.table.outbound) > 0 {
-		return changePeriod
-	}
-	return heartbeatPeriod
-}
-
-// queuedSuspects returns the suspects of all rounds that are requested, which
-// become one round.
-func (f *Fleet) queuedSuspects() (suspects []*driftgossippb.Suspect) {
-	for {
-		select {
-		case more := <-f.urgentRounds:
-			suspects = append(suspects, more...)
-		default:
-			return suspects
-		}
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Alive returns the other VMs that are alive, sorted by name.
 func (f *Fleet) Alive() []Member {
 	f.mu.Lock()
@@ -395,19 +340,14 @@
 	f.mu.Lock()
 	f.announce = true
 	f.mu.Unlock()
-	f.requestRound(nil)
+	f.requestRound()
 }
 
-// ReportSuspect tells other VMs that an upstream does not answer.
+// ReportSuspect tells other VMs that an upstream does not answer. The report is
+// dropped if too many are queued.
 func (f *Fleet) ReportSuspect(upstream string, span time.Duration) {
-	f.requestRound([]*driftgossippb.Suspect{{Upstream: upstream, Span: uint32(span.Milliseconds())}})
-}
-
-// requestRound makes Run send a round at once. The request is dropped if too
-// many are queued.
-func (f *Fleet) requestRound(suspects []*driftgossippb.Suspect) {
 	select {
-	case f.urgentRounds <- suspects:
+	case f.suspectReports <- &driftgossippb.Suspect{Upstream: upstream, Span: uint32(span.Milliseconds())}:
 	default:
 	}
 }
@@ -419,7 +359,7 @@
 	f.ready = ready
 	f.mu.Unlock()
 	if changed {
-		f.requestRound(nil)
+		f.requestRound()
 	}
 }
 
@@ -432,7 +372,7 @@
 	f.load = level
 	f.mu.Unlock()
 	if changed {
-		f.requestRound(nil)
+		f.requestRound()
 	}
 }
 
@@ -448,84 +388,5 @@
 	f.mu.Lock()
 	f.leaving = true
 	f.mu.Unlock()
-	f.requestRound(nil)
-}
-
-func (f *Fleet) receive(ctx context.Context) {
-	buffer := make([]byte, maxDatagramBytes)
-	for ctx.Err() == nil {
-		n, _, err := f.socket.ReadFrom(buffer)
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return
-			}
-			continue
-		}
-		var message driftgossippb.Datagram
-		if proto.Unmarshal(buffer[:n], &message) == nil {
-			f.mergeDatagram(&message, time.Now())
-		}
-	}
-}
-
-// mergeDatagram merges the content of a datagram into the membership.
-func (f *Fleet) mergeDatagram(message *driftgossippb.Datagram, now time.Time) {
-	sender := message.GetSender()
-	if sender.GetName() == "" || sender.GetName() == f.self.Name {
-		return
-	}
-	f.mu.Lock()
-	held, known := f.table.members[sender.GetName()]
-	returned := f.table.hear(sender.GetDomain(), now)
-	f.table.merge(sender, now, true)
-	for _, e := range message.GetEntries() {
-		if f.table.trusts(sender, e) {
-			f.table.merge(e, now, false)
-		}
-	}
-	changed := f.table.rings == nil
-	resync := f.disagrees(message, now)
-	f.mu.Unlock()
-	if sender.GetAge() < unconfirmedAgeMillis {
-		f.replica.Confirm(sender.GetRevision(), now.Add(-time.Duration(sender.GetAge())*time.Millisecond))
-	}
-	if revision, _ := f.replica.Revision(); sender.GetRevision() > revision {
-		f.onNewerRevision()
-	}
-	for _, s := range message.GetSuspects() {
-		f.onSuspect(s.GetUpstream(), time.Duration(s.GetSpan())*time.Millisecond)
-	}
-	f.welcome(sender, !known || held.Incarnation != sender.GetBoot(), now)
-	f.handleLoans(message)
-	if message.GetSync() {
-		f.synchronize(sender.GetAddress(), sender.GetDomain())
-	}
-	if returned || resync {
-		f.writeTo(sender.GetAddress(), func(m *driftgossippb.Datagram) { m.Sync = true })
-	}
-	if f.isSuspectedBy(message) {
-		f.refute(sender.GetAddress())
-	}
-	if changed {
-		f.requestRound(nil)
-	}
-}
-
-// welcome tells a new VM of other members: one of this VM's domain of all, one
-// of another domain of those of its own.
-func (f *Fleet) welcome(sender *driftgossippb.Entry, isNew bool, now time.Time) {
-	f.mu.Lock()
-	near := sender.GetDomain() == f.self.Domain || f.table.settledMesh()
-	last := f.referred[sender.GetName()]
-	referred := last.incarnation == sender.GetBoot() && now.Sub(last.at) < referralMemory
-	f.mu.Unlock()
-	switch {
-	case near && isNew && f.introductionLimiter.Allow():
-		f.introduce(sender.GetAddress())
-	case !near && !referred && f.referralLimiter.Allow():
-		f.mu.Lock()
-		f.referred[sender.GetName()] = referral{incarnation: sender.GetBoot(), at: now}
-		f.mu.Unlock()
-		f.refer(sender.GetAddress(), sender.GetDomain())
-	}
+	f.requestRound()
 }
--- /dev/null
+++ b/internal/driftgossip/receive.go
@@ -0,0 +1,108 @@
+package driftgossip
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/almonddrift/almonddrift/internal/driftgossip/driftgossippb"
+)
+
+// referral records that a VM was told of members of its own domain.
+type referral struct {
+	incarnation uint64
+	at          time.Time
+}
+
+// receive merges datagrams until the context ends.
+func (f *Fleet) receive(ctx context.Context) {
+	buffer := make([]byte, maxDatagramBytes)
+	for ctx.Err() == nil {
+		n, _, err := f.socket.ReadFrom(buffer)
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue
+		}
+		var message driftgossippb.Datagram
+		if proto.Unmarshal(buffer[:n], &message) == nil {
+			f.mergeDatagram(&message, time.Now())
+		}
+	}
+}
+
+// mergeDatagram merges the content of a datagram into the membership.
+func (f *Fleet) mergeDatagram(message *driftgossippb.Datagram, now time.Time) {
+	sender := message.GetSender()
+	if sender.GetName() == "" || sender.GetName() == f.self.Name {
+		return
+	}
+	f.mu.Lock()
+	held, known := f.table.members[sender.GetName()]
+	returned := f.table.hear(sender.GetDomain(), now)
+	f.table.merge(sender, now, true)
+	for _, e := range message.GetEntries() {
+		if f.table.trusts(sender, e) {
+			f.table.merge(e, now, false)
+		}
+	}
+	changed := f.table.rings == nil
+	resync := f.disagrees(message, now)
+	f.mu.Unlock()
+	if sender.GetAge() < unconfirmedAgeMillis {
+		f.replica.Confirm(sender.GetRevision(), now.Add(-time.Duration(sender.GetAge())*time.Millisecond))
+	}
+	if revision, _ := f.replica.Revision(); sender.GetRevision() > revision {
+		f.onNewerRevision()
+	}
+	for _, s := range message.GetSuspects() {
+		f.onSuspect(s.GetUpstream(), time.Duration(s.GetSpan())*time.Millisecond)
+	}
+	f.welcome(sender, !known || held.Incarnation != sender.GetBoot(), now)
+	f.handleLoans(message)
+	if message.GetSync() {
+		f.synchronize(sender.GetAddress(), sender.GetDomain())
+	}
+	if returned || resync {
+		f.writeTo(sender.GetAddress(), func(m *driftgossippb.Datagram) { m.Sync = true })
+	}
+	if f.isSuspectedBy(message) {
+		f.refute(sender.GetAddress())
+	}
+	if changed {
+		f.requestRound()
+	}
+}
+
+// welcome tells a new VM of other members: one of this VM's domain of all, one
+// of another domain of those of its own.
+func (f *Fleet) welcome(sender *driftgossippb.Entry, isNew bool, now time.Time) {
+	f.mu.Lock()
+	near := sender.GetDomain() == f.self.Domain || f.table.settledMesh()
+	last := f.referred[sender.GetName()]
+	referred := last.incarnation == sender.GetBoot() && now.Sub(last.at) < referralMemory
+	f.mu.Unlock()
+	switch {
+	case near && isNew && f.introductionLimiter.Allow():
+		f.introduce(sender.GetAddress())
+	case !near && !referred && f.referralLimiter.Allow():
+		f.mu.Lock()
+		f.dropOldReferrals(now)
+		f.referred[sender.GetName()] = referral{incarnation: sender.GetBoot(), at: now}
+		f.mu.Unlock()
+		f.refer(sender.GetAddress(), sender.GetDomain())
+	}
+}
+
+// dropOldReferrals bounds the memory of referrals where VMs come and go.
+func (f *Fleet) dropOldReferrals(now time.Time) {
+	for name, r := range f.referred {
+		if now.Sub(r.at) > referralMemory {
+			delete(f.referred, name)
+		}
+	}
+}
--- a/internal/driftgossip/send.go
+++ b/internal/driftgossip/send.go
@@ -12,7 +12,7 @@
 )
 
 // runRound runs failure detection and sends one datagram to each target.
-func (f *Fleet) runRound(suspects []*driftgossippb.Suspect) {
+func (f *Fleet) runRound() {
 	now := time.Now()
 	f.mu.Lock()
 	f.heartbeat++
@@ -34,7 +34,6 @@
 		far.Entries = f.table.outbound.take(f.table.members, maxRoundDatagrams*maxDatagramEntries)
 	}
 	repairTargets, repair := f.antiEntropy(near.GetSender())
-	suspectTargets := f.suspectTargets(nearTargets)
 	f.mu.Unlock()
 	if len(changes) > 0 {
 		f.onChange(changes)
@@ -46,33 +45,11 @@
 	f.write(&driftgossippb.Datagram{Sender: near.GetSender()}, plainTargets...)
 	f.write(far, farTargets...)
 	f.write(repair, repairTargets...)
-	if len(suspects) > 0 {
-		f.write(&driftgossippb.Datagram{Sender: near.GetSender(), Suspects: suspects}, suspectTargets...)
-	}
 	for _, m := range slices.Concat(suspectVMs, deadVMs, probes) {
 		f.sendSuspicion(near.GetSender(), m)
 	}
 }
 
-// suspectTargets returns the VMs that suspect upstreams are reported to: those
-// of this VM's domain that send requests to upstreams, or the given heartbeat
-// targets in a small fleet.
-func (f *Fleet) suspectTargets(heartbeatTargets []string) (targets []string) {
-	if f.table.fullMesh() {
-		return heartbeatTargets
-	}
-	ring, _ := f.table.ownRing()
-	for _, m := range ring {
-		if f.table.members[m.Name].Load > 0 && m.Name != f.self.Name && len(targets) < maxSuspectTargets {
-			targets = append(targets, m.Address)
-		}
-	}
-	return targets
-}
-
-// maxSuspectTargets bounds the VMs that a suspect upstream is reported to.
-const maxSuspectTargets = 8
-
 func addresses(members []Member) []string {
 	list := make([]string, len(members))
 	for i, m := range members {
