Settle deaths that domains know at different heartbeats

Cause: a VM sends some heartbeats to one VM only, to refute a suspicion, or to another domain. If it then died, that domain held a newer heartbeat than the VMs that monitor it, ignored the death that these reported, and counted the VM as alive for good. And a domain whose VMs all counted as dead was no longer listed as unreached, so that late reports revived some of them.

Change: whoever holds a newer heartbeat answers the report of a death with it; the monitoring VMs take it and report again. A domain stays unreached until it is heard of. In a domain of up to eight VMs all monitor each other.

Measured: TestNewerHeartbeatElsewhere, which failed before, passes after 1.6 to 2.5 s.

--- a/internal/driftgossip/domain.go
+++ b/internal/driftgossip/domain.go
@@ -120,21 +120,19 @@
 			delete(t.domains.synced, domain)
 		}
 	}
-	for domain, ring := range t.domainRings() {
-		if domain == t.self.Domain {
-			continue
-		}
+	for domain := range t.otherDomains() {
 		if becameGateway || t.domains.lastHeard[domain].IsZero() {
 			t.domains.lastHeard[domain] = now
 		}
-		sync = sync || !t.domains.synced[domain]
-		t.domains.synced[domain] = true
+		if len(t.domainRings()[domain]) > 0 && !t.domains.synced[domain] {
+			sync, t.domains.synced[domain] = true, true
+		}
 		silence := now.Sub(t.domains.lastHeard[domain])
 		if silence > domainDeadAfter {
 			t.domains.unreached = append(t.domains.unreached, domain)
 		}
 		if silence > domainProbeAfter {
-			probes = append(probes, sample(slices.Clone(ring), probesPerDomain)...)
+			probes = append(probes, sample(slices.Clone(t.domainRings()[domain]), probesPerDomain)...)
 		}
 	}
 	slices.Sort(t.domains.unreached)
@@ -151,6 +149,18 @@
 	}
 }
 
+// otherDomains returns the other domains that this VM knows members of, dead
+// ones included.
+func (t *memberTable) otherDomains() map[string]bool {
+	domains := make(map[string]bool)
+	for _, m := range t.members {
+		if m.Domain != t.self.Domain {
+			domains[m.Domain] = true
+		}
+	}
+	return domains
+}
+
 // deadDomainProbes returns VMs to probe of domains without a live VM.
 func (t *memberTable) deadDomainProbes() (probes []Member) {
 	dead := make(map[string][]Member)
@@ -170,7 +180,7 @@
 // alive revives it, since its heartbeat is reset.
 func (t *memberTable) forgetUnreached(now time.Time) {
 	unreachable := make(map[string]bool)
-	for domain := range t.domainRings() {
+	for domain := range t.otherDomains() {
 		unreachable[domain] = t.unreachable(domain)
 	}
 	for domain := range t.domains.unreachedSince {
--- a/internal/driftgossip/gossip.go
+++ b/internal/driftgossip/gossip.go
@@ -53,8 +53,10 @@
 	// fullMeshSize is the largest fleet in which every VM sends heartbeats to all
 	// others.
 	fullMeshSize = 12
-	// monitorCount is how many VMs of its failure domain monitor one VM.
-	monitorCount = 4
+	// monitorCount is how many VMs of its failure domain monitor one VM, in a domain
+	// of more than domainMeshSize. In a smaller one all others do.
+	monitorCount   = 4
+	domainMeshSize = 8
 	// gatewaysPerDomain is how many VMs of a failure domain exchange heartbeats and
 	// changes with other domains.
 	gatewaysPerDomain = 2
--- a/internal/driftgossip/large_test.go
+++ b/internal/driftgossip/large_test.go
@@ -257,6 +257,25 @@
 	})
 }
 
+// TestNewerHeartbeatElsewhere has a VM die right after another domain, but none
+// of the VMs that monitor it, received its last heartbeat.
+func TestNewerHeartbeatElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLAN()
+		nodes := startDomains(t, l, mediumFleet, largeDomains)
+		assertAllAlive(t, nodes, 8*time.Second)
+		dying, rest := nodes[0], nodes[1:]
+		for _, n := range rest {
+			if addressDomain(n.address) == "1" {
+				dying.fleet.refute(n.address)
+			}
+		}
+		l.setCut(true, dying)
+		assertAliveCounts(t, rest, func(*node) int { return len(rest) - 1 }, 7*time.Second)
+		stopFleet(nodes)
+	})
+}
+
 // TestDomainRestart stops all VMs of a failure domain and starts one of them
 // again. The others must count it, and none of those that are still gone.
 func TestDomainRestart(t *testing.T) {
--- a/internal/driftgossip/member.go
+++ b/internal/driftgossip/member.go
@@ -131,6 +131,17 @@
 	}
 }
 
+// outdatedDeath returns the known member if an entry reports its death at an
+// earlier heartbeat than the known one. The VMs that monitor it must take the
+// newer heartbeat before they can report the death of this one.
+func (t *memberTable) outdatedDeath(e *driftgossippb.Entry) (newer Member, ok bool) {
+	held, known := t.members[e.GetName()]
+	if !known || !e.GetDead() || held.Dead || e.GetBoot() != held.Incarnation {
+		return Member{}, false
+	}
+	return held, e.GetBeat() < held.Heartbeat
+}
+
 // store stores a member, and schedules it for sending if the change matters to
 // other VMs.
 func (t *memberTable) store(held, m Member, known bool, now time.Time) {
--- a/internal/driftgossip/receive.go
+++ b/internal/driftgossip/receive.go
@@ -45,7 +45,11 @@
 	held, known := f.table.members[sender.GetName()]
 	returned := f.table.hear(sender.GetDomain(), now)
 	f.table.merge(sender, now, true)
+	var outdated []*driftgossippb.Entry
 	for _, e := range message.GetEntries() {
+		if newer, ok := f.table.outdatedDeath(e); ok {
+			outdated = append(outdated, toEntry(newer))
+		}
 		if f.table.trusts(sender, e) {
 			f.table.merge(e, now, false)
 		}
@@ -62,6 +66,9 @@
 	for _, s := range message.GetSuspects() {
 		f.onSuspect(s.GetUpstream(), time.Duration(s.GetSpan())*time.Millisecond)
 	}
+	if len(outdated) > 0 {
+		f.writeTo(sender.GetAddress(), func(m *driftgossippb.Datagram) { m.Entries = outdated })
+	}
 	f.welcome(sender, !known || held.Incarnation != sender.GetBoot(), now)
 	f.handleLoans(message)
 	if message.GetSync() {
--- a/internal/driftgossip/ring.go
+++ b/internal/driftgossip/ring.go
@@ -65,12 +65,20 @@
 		return slices.DeleteFunc(targets, func(m Member) bool { return m.Name == t.self.Name })
 	}
 	ring, at := t.ownRing()
-	for step := 1; step <= min(monitorCount, len(ring)-1); step++ {
+	for step := 1; step <= monitors(ring); step++ {
 		targets = append(targets, ring[(at+step)%len(ring)])
 	}
 	return targets
 }
 
+// monitors returns how many VMs of a ring monitor each of them.
+func monitors(ring []Member) int {
+	if len(ring) <= domainMeshSize {
+		return len(ring) - 1
+	}
+	return monitorCount
+}
+
 // monitoredVMs returns the VMs that have this one among their heartbeat
 // targets.
 func (t *memberTable) monitoredVMs() map[string]bool {
@@ -82,7 +90,7 @@
 		return assigned
 	}
 	ring, at := t.ownRing()
-	for step := 1; step <= min(monitorCount, len(ring)-1); step++ {
+	for step := 1; step <= monitors(ring); step++ {
 		assigned[ring[(at-step+len(ring))%len(ring)].Name] = true
 	}
 	return assigned
