Split the merge of a datagram into its parts

Change: what a datagram reports of other VMs, and the revision it names, are handled in functions of their own; no change in behaviour.

--- a/internal/driftgossip/receive.go
+++ b/internal/driftgossip/receive.go
@@ -45,24 +45,11 @@
 	held, known := f.table.members[sender.GetName()]
 	returned := f.table.hear(sender.GetDomain(), now)
 	f.table.merge(sender, now, true)
-	var outdated []*driftgossippb.Entry
-	for _, e := range message.GetEntries() {
-		if newer, ok := f.table.outdatedDeath(e); ok {
-			outdated = append(outdated, toEntry(newer))
-		}
-		if f.table.trusts(sender, e) {
-			f.table.merge(e, now, false)
-		}
-	}
+	outdated := f.table.mergeReported(message, now)
 	changed := f.table.rings == nil
 	resync := f.disagrees(message, now)
 	f.mu.Unlock()
-	if sender.GetAge() < unconfirmedAgeMillis {
-		f.replica.Confirm(sender.GetRevision(), now.Add(-time.Duration(sender.GetAge())*time.Millisecond))
-	}
-	if revision, _ := f.replica.Revision(); sender.GetRevision() > revision {
-		f.onNewerRevision()
-	}
+	f.noteRevision(sender, now)
 	for _, s := range message.GetSuspects() {
 		f.onSuspect(s.GetUpstream(), time.Duration(s.GetSpan())*time.Millisecond)
 	}
@@ -85,6 +72,31 @@
 	}
 }
 
+// mergeReported merges what a datagram says about other VMs than its sender. It
+// returns newer entries of VMs whose death was reported at an earlier heartbeat.
+func (t *memberTable) mergeReported(message *driftgossippb.Datagram, now time.Time) (newer []*driftgossippb.Entry) {
+	for _, e := range message.GetEntries() {
+		if m, ok := t.outdatedDeath(e); ok {
+			newer = append(newer, toEntry(m))
+		}
+		if t.trusts(message.GetSender(), e) {
+			t.merge(e, now, false)
+		}
+	}
+	return newer
+}
+
+// noteRevision confirms the revision that this VM holds by that of a sender, or
+// reports that the sender's is newer.
+func (f *Fleet) noteRevision(sender *driftgossippb.Entry, now time.Time) {
+	if sender.GetAge() < unconfirmedAgeMillis {
+		f.replica.Confirm(sender.GetRevision(), now.Add(-time.Duration(sender.GetAge())*time.Millisecond))
+	}
+	if revision, _ := f.replica.Revision(); sender.GetRevision() > revision {
+		f.onNewerRevision()
+	}
+}
+
 // welcome tells a new VM of other members: one of this VM's domain of all, one
 // of another domain of those of its own.
 func (f *Fleet) welcome(sender *driftgossippb.Entry, isNew bool, now time.Time) {
