Log the rate limits that upstreams name

On call could not tell whether a VM had read a Server-Limit, nor what it sent since: no event or metric named one. Now events 304 and 305 say when each VM read a limit and when it was lifted, with the first and extra attempts in between, and drift_limited_sends_total and drift_rate_limits count them. No decision changes.

--- a/internal/driftevent/catalogue.go
+++ b/internal/driftevent/catalogue.go
@@ -41,6 +41,8 @@
 	UpstreamCooled    Code = 301
 	UpstreamLimit     Code = 302
 	UpstreamLeaving   Code = 303
+	RateLimitNamed    Code = 304
+	RateLimitLifted   Code = 305
 	ConnectionOpened  Code = 310
 	ConnectionClosed  Code = 311
 	ConnectionSilent  Code = 312
@@ -109,6 +111,8 @@
 	{UpstreamCooled, "upstream cooled", severityWarning},
 	{UpstreamLimit, "upstream limit", severityTrace},
 	{UpstreamLeaving, "upstream leaving", severityInfo},
+	{RateLimitNamed, "rate limit named", severityWarning},
+	{RateLimitLifted, "rate limit lifted", severityInfo},
 	{ConnectionOpened, "connection opened", severityTrace},
 	{ConnectionClosed, "connection closed", severityTrace},
 	{ConnectionSilent, "connection silent", severityWarning},
--- a/internal/driftexchange/exchange.go
+++ b/internal/driftexchange/exchange.go
@@ -19,6 +19,7 @@
 
 import (
 	"bytes"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -43,6 +44,9 @@
 	NotRun string
 	// Load carries the numbers of running requests, waiting requests and slots.
 	Load string
+	// RateLimit carries the requests a second that the upstream accepts from all
+	// callers together. Replies have it while the upstream limits its rate.
+	RateLimit string
 	// PartSignatures lists the signatures of the merged shard replies.
 	PartSignatures string
 	// MissingParts carries the number of shards that an answer lacks.
@@ -82,11 +86,17 @@
 	Misdirected bool
 	// Refused is set if the upstream received and refused the request.
 	Refused bool
-	Err     error
+	// Header is that of the refusal, nil if there was none.
+	Header http.Header
+	Err    error
 }
 
 // Unknown means that the request may have run.
-type Unknown struct{ Err error }
+type Unknown struct {
+	// Header is that of the invalid reply, nil if there was none.
+	Header http.Header
+	Err    error
+}
 
 func (Done) result()    {}
 func (NotRun) result()  {}
@@ -105,16 +115,25 @@
 func classifyReply(r Reply, h Headers) Result {
 	switch {
 	case r.Status == http.StatusMisdirectedRequest:
-		return NotRun{Misdirected: true, Refused: true, Err: ErrRefused}
+		return NotRun{Misdirected: true, Refused: true, Header: r.Header, Err: ErrRefused}
 	case r.Header.Get(h.NotRun) != "":
-		return NotRun{Refused: true, Err: ErrRefused}
+		return NotRun{Refused: true, Header: r.Header, Err: ErrRefused}
 	case r.Status < http.StatusMultipleChoices && r.Header.Get(h.Signature) == "":
-		return Unknown{Err: ErrNoSignature}
+		return Unknown{Header: r.Header, Err: ErrNoSignature}
 	default:
 		return Done{Reply: r}
 	}
 }
 
+// ParseRateLimit parses a number of requests a second.
+func ParseRateLimit(text string) (perSecond float64, ok bool) {
+	perSecond, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(perSecond >= 0) || math.IsInf(perSecond, 0) {
+		return 0, false
+	}
+	return perSecond, true
+}
+
 // encode returns the request line and headers as they are sent.
 func (r *Request) encode(h Headers, expect string, left time.Duration) ([]byte, error) {
 	var b bytes.Buffer
--- a/internal/driftrelay/invariant_test.go
+++ b/internal/driftrelay/invariant_test.go
@@ -26,7 +26,7 @@
 // startAttempt sends the query to the upstream, bypassing chooseUpstream.
 func (b violationFixture) startAttempt() {
 	b.relay.mu.Lock()
-	_, send := b.relay.startAttempt(b.scatter.query, b.upstream, time.Millisecond, func(*attempt, driftexchange.Result) {})
+	_, send := b.relay.startAttempt(b.scatter.query, b.upstream, time.Millisecond, false, func(*attempt, driftexchange.Result) {})
 	b.relay.mu.Unlock()
 	send()
 }
--- a/internal/driftrelay/metric.go
+++ b/internal/driftrelay/metric.go
@@ -11,6 +11,8 @@
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	sends    *prometheus.CounterVec
+	limited  *prometheus.CounterVec
+	limits   prometheus.Gauge
 }
 
 // latencyBuckets are the bounds of the latency histogram, in seconds.
@@ -28,8 +30,14 @@
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "drift_sends_total", Help: "Sends by service: first, extra, and extra ones that the budget denied.",
 		}, []string{"service", "kind"}),
+		limited: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "drift_limited_sends_total", Help: "Sends to upstreams that name a rate limit.",
+		}, []string{"service", "kind"}),
+		limits: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "drift_rate_limits", Help: "Upstreams that name a rate limit to this VM.",
+		}),
 	}
-	registerer.MustRegister(m.requests, m.latency, m.sends)
+	registerer.MustRegister(m.requests, m.latency, m.sends, m.limited, m.limits)
 	return m
 }
 
@@ -46,6 +54,18 @@
 	}
 }
 
+func (m *Metrics) countLimited(service, kind string) {
+	if m != nil {
+		m.limited.WithLabelValues(service, kind).Inc()
+	}
+}
+
+func (m *Metrics) addRateLimits(change float64) {
+	if m != nil {
+		m.limits.Add(change)
+	}
+}
+
 func (m *Metrics) observeAnswer(route string, cause Cause, took time.Duration) {
 	if m != nil {
 		m.requests.WithLabelValues(route, string(cause)).Inc()
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -183,7 +183,7 @@
 	}
 	l.waiting = false
 	mayHaveRun := l.mayHaveRun || anyAttemptSent(l)
-	f, send := r.startAttempt(s.query, best.upstream, min(best.cost, s.query.Route.LatencyObjective), func(f *attempt, result driftexchange.Result) {
+	f, send := r.startAttempt(s.query, best.upstream, min(best.cost, s.query.Route.LatencyObjective), len(l.tried) > 0, func(f *attempt, result driftexchange.Result) {
 		s.results <- attemptResult{request: l, attempt: f, result: result}
 	})
 	l.tried = append(l.tried, best.upstream)
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -17,9 +17,10 @@
 // startAttempt registers an attempt at the upstream, on an idle connection or a
 // new one. The caller holds the lock, and calls send after releasing it. The
 // result is delivered once.
-func (r *Relay) startAttempt(q *Query, e *upstreamState, expected time.Duration, deliver deliverFunc) (f *attempt, send func()) {
+func (r *Relay) startAttempt(q *Query, e *upstreamState, expected time.Duration, extra bool, deliver deliverFunc) (f *attempt, send func()) {
 	now := time.Now()
 	f = &attempt{upstream: e, started: now, expected: expected, version: q.Table.Config.Version}
+	r.countLimited(e, extra)
 	e.inFlight = append(e.inFlight, f)
 	r.sendRate.count++
 	r.checker.NotLeaving(q.Request.ID, e.ID, e.leavingAt, now)
@@ -93,9 +94,13 @@
 			r.recordServiceTime(f, q, now)
 		}
 		r.recordLoad(e, result.Reply.Header.Get(r.headers.Load), now)
+		r.recordRateLimit(f, result.Reply.Header, now)
+		r.recordNoRateLimit(f, result.Reply.Header, now)
 	case driftexchange.NotRun:
 		r.recordNotRun(f, result, now)
+		r.recordRateLimit(f, result.Header, now)
 	case driftexchange.Unknown:
+		r.recordRateLimit(f, result.Header, now)
 		if !f.abandoned && now.Before(q.Deadline.Add(-2*replyMargin)) {
 			e.recordOutcome(now, true, false)
 		}
--- a/internal/driftrelay/upstream.go
+++ b/internal/driftrelay/upstream.go
@@ -80,6 +80,7 @@
 	suspectUntil time.Time
 	downUntil    time.Time
 	downBackoff  time.Duration
+	rateLimit    rateLimit
 	coldSent     []bucket
 	connUnits    unitShare
 	coldUnits    unitShare
