--- /dev/null
+++ b/internal/driftrelay/limit_test.go
@@ -0,0 +1,182 @@
+package driftrelay
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/almonddrift/almonddrift/internal/driftexchange"
+	"github.com/almonddrift/almonddrift/internal/driftroute"
+	"github.com/almonddrift/almonddrift/internal/drifttest"
+)
+
+// runRed also runs the tests that KNOWN-RED.txt lists as failing.
+var runRed = flag.Bool("red", false, "also run the tests that KNOWN-RED.txt lists")
+
+// Times and bounds of the published rule on named limits.
+const (
+	limitLearnTime = 4 * time.Second
+	limitRuleSpan  = 4 * time.Second
+	limitFactor    = 1.5
+	limitSlack     = 5
+)
+
+// limitedFleet is a fleet of VMs in front of three shards, of which some
+// upstreams of the first name a rate limit for a while.
+type limitedFleet struct {
+	*simulation
+	route   driftroute.Route
+	relays  []*Relay
+	vms     int
+	entries int
+	limited []*fakeUpstream
+}
+
+// limitCase is one way in which upstreams of a shard name limits.
+type limitCase struct {
+	name         string
+	vms, entries int
+	// limited is how many of the three upstreams name the limit.
+	limited   int
+	perSecond float64
+	// restartAt is when one VM is replaced, 0 if none is.
+	restartAt time.Duration
+}
+
+const (
+	limitedFrom  = 6 * time.Second
+	limitedUntil = 25 * time.Second
+	limitedDay   = 32 * time.Second
+	// queryGap gives 180 queries a second, as on the published sites.
+	queryGap = time.Second / 180
+)
+
+func newLimitedFleet(c limitCase) *limitedFleet {
+	route := sweep()
+	route.Target = driftroute.Gather{TopK: 10, CoverageFloor: 0.6, Shards: make([]string, 3)}
+	f := &limitedFleet{simulation: newSimulation(3, 4, 20*time.Millisecond, route), route: route, vms: c.vms, entries: c.entries}
+	start := time.Now()
+	f.forEachUpstream(func(i int, s *fakeUpstream) {
+		if i < c.limited {
+			s.namedLimit, s.limitFrom, s.limitUntil = c.perSecond, start.Add(limitedFrom), start.Add(limitedUntil)
+			f.limited = append(f.limited, s)
+		}
+	})
+	for i := range c.entries {
+		f.relays = append(f.relays, f.newRelay(i))
+	}
+	return f
+}
+
+func vmInDomain(i int) VM {
+	return VM{Name: fmt.Sprintf("vm-%d", i), Domain: fmt.Sprintf("domain-%d", i%testDomains)}
+}
+
+func (f *limitedFleet) newRelay(i int) *Relay {
+	r := New(vmInDomain(i), testHeaders, WithDialer(f.dial))
+	var others []VM
+	for j := range f.vms {
+		if vm := vmInDomain(j); j != i {
+			vm.Entry = j < f.entries
+			others = append(others, vm)
+		}
+	}
+	r.SetVMs(true, others)
+	r.UpdateView(f.view)
+	return r
+}
+
+// run plays the day: queries arrive at the entry VMs in turn. It returns how
+// many were answered in time.
+func (f *limitedFleet) run(c limitCase) (inTime, total int) {
+	start := time.Now()
+	var replaced *Relay
+	results := make(chan bool, int(limitedDay/queryGap)+1)
+	for time.Since(start) < limitedDay {
+		if c.restartAt > 0 && replaced == nil && time.Since(start) >= c.restartAt {
+			replaced = f.relays[0]
+			f.relays[0] = f.newRelay(0)
+		}
+		id := fmt.Sprintf("q%d", total)
+		relay := f.relays[total%len(f.relays)]
+		total++
+		go func() {
+			begin := time.Now()
+			a := relay.Serve(context.Background(), &driftexchange.Request{
+				ID: id, Method: http.MethodGet, Target: f.route.Prefix, Host: f.route.Host,
+			}, f.route.Prefix, begin, 0)
+			results <- a.Status == http.StatusOK && time.Since(begin) <= f.route.LatencyObjective
+		}()
+		time.Sleep(queryGap)
+	}
+	for range total {
+		if <-results {
+			inTime++
+		}
+	}
+	if replaced != nil {
+		closeAll(replaced)
+	}
+	for _, r := range f.relays {
+		closeAll(r)
+	}
+	return inTime, total
+}
+
+// arrivalsWithin returns how many requests arrived in the span from a time on.
+func (s *fakeUpstream) arrivalsWithin(from time.Time, span time.Duration) int {
+	n := 0
+	for _, at := range s.arrivals {
+		if !at.Before(from) && at.Before(from.Add(span)) {
+			n++
+		}
+	}
+	return n
+}
+
+// assertLimitKept checks that the upstream got no more than the published rule
+// allows in any span, from limitLearnTime after it had named its limit.
+func assertLimitKept(t *testing.T, s *fakeUpstream) {
+	t.Helper()
+	allowed := int(limitFactor*s.namedLimit*limitRuleSpan.Seconds() + limitSlack)
+	most := 0
+	for _, from := range s.arrivals {
+		if from.Before(s.limitFrom.Add(limitLearnTime)) || from.Add(limitRuleSpan).After(s.limitUntil) {
+			continue
+		}
+		most = max(most, s.arrivalsWithin(from, limitRuleSpan))
+	}
+	t.Logf("%s: limit %.1f a second, at most %d in 4 s, %d allowed", s.name, s.namedLimit, most, allowed)
+	assert.LessOrEqual(t, most, allowed)
+}
+
+// TestNamedLimitWasPassed guards against sending an upstream more requests than
+// the limit that it names (found in simulated days of all deployments).
+func TestNamedLimitWasPassed(t *testing.T) {
+	drifttest.SkipKnownRed(t, "../../KNOWN-RED.txt", *runRed)
+	for _, c := range []limitCase{
+		{"two of three", 8, 8, 2, 31.1, 0},
+		{"two of three, a VM restarts", 8, 8, 2, 35.2, 13 * time.Second},
+		{"all, far below the load", 8, 8, 3, 8.6, 0},
+		{"all, below one request a VM", 8, 8, 3, 1.2, 0},
+		{"two of three, few entry VMs", 79, 9, 2, 16.5, 0},
+		{"all, many entry VMs", 60, 60, 3, 3.3, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newLimitedFleet(c)
+				inTime, total := f.run(c)
+				t.Logf("%d of %d in time", inTime, total)
+				for _, s := range f.limited {
+					assertLimitKept(t, s)
+				}
+			})
+		})
+	}
+}
--- a/internal/driftrelay/simulation_test.go
+++ b/internal/driftrelay/simulation_test.go
@@ -37,12 +37,17 @@
 	unreachable bool
 	// handshake is how much longer the first request of a connection takes.
 	handshake time.Duration
-	slots     chan struct{}
-	rng       *rand.Rand
+	// namedLimit is the rate limit that replies name between limitFrom and
+	// limitUntil.
+	namedLimit            float64
+	limitFrom, limitUntil time.Time
+	slots                 chan struct{}
+	rng                   *rand.Rand
 
 	mu           sync.Mutex
 	runs         map[string]int
 	arrived      int
+	arrivals     []time.Time
 	conns        int
 	maxConns     int
 	failedWrites int
@@ -56,7 +61,7 @@
 
 var testHeaders = driftexchange.Headers{
 	Request: "X-Id", Deadline: "X-Left", Expect: "X-Expect", Signature: "X-Proof", NotRun: "X-Not-Run",
-	Load: "X-Load", PartSignatures: "X-Parts", MissingParts: "X-Missing",
+	Load: "X-Load", RateLimit: "X-Limit", PartSignatures: "X-Parts", MissingParts: "X-Missing",
 }
 
 const (
@@ -188,6 +193,7 @@
 func (s *fakeUpstream) answer(conn net.Conn, id string) bool {
 	s.mu.Lock()
 	s.arrived++
+	s.arrivals = append(s.arrivals, time.Now())
 	refused := s.rng.Float64() < s.refusalRate
 	lost := s.rng.Float64() < s.replyLossRate
 	work := time.Duration(float64(s.serviceTime) * s.slowdown * (0.6 + 0.8*s.rng.Float64()))
@@ -204,7 +210,7 @@
 	if lost {
 		return false
 	}
-	ok := writeReply(conn, "200 OK", testHeaders.Signature+": "+s.name+"."+id+"\r\n", id, strings.Repeat("r", recordSize))
+	ok := writeReply(conn, "200 OK", testHeaders.Signature+": "+s.name+"."+id+"\r\n"+s.limitHeader(), id, strings.Repeat("r", recordSize))
 	if !ok {
 		s.mu.Lock()
 		s.failedWrites++
@@ -213,6 +219,14 @@
 	return ok
 }
 
+// limitHeader returns the header that names the rate limit, if there is one now.
+func (s *fakeUpstream) limitHeader() string {
+	if now := time.Now(); now.Before(s.limitFrom) || !now.Before(s.limitUntil) {
+		return ""
+	}
+	return fmt.Sprintf("%s: %.1f\r\n", testHeaders.RateLimit, s.namedLimit)
+}
+
 // pauseLeft returns how much of the current pause is left.
 func (s *fakeUpstream) pauseLeft() time.Duration {
 	if s.pauseEvery == 0 {
