Divide the rate that an upstream names among the entry VMs

Callers saw nothing; upstreams in need got up to 20 times what they had asked for.

Now each entry VM has a part of the limit in whole requests of 4 s, by driftshare.Units, so that the parts add up to the limit whatever VMs do; every attempt counts, also hedges. An upstream whose part is used is not a candidate. A request that no upstream may take waits as for the retry budget, and is refused at once if the next part comes too late, with a Retry-After that says when. A checker asserts the part.

--- a/internal/driftcheck/assert.go
+++ b/internal/driftcheck/assert.go
@@ -32,6 +32,15 @@
 	}
 }
 
+// WithinRateLimit asserts that this VM has sent no more requests to an upstream
+// that names a rate limit than its part of it, this request included. It counts
+// as ColdUpstream, the invariant on what an upstream can take.
+func (c *Checker) WithinRateLimit(request, upstream string, sent, limit int) {
+	if sent > limit {
+		c.recordViolation(ColdUpstream, request, "upstream %s, which limits its rate, got %d requests, limit %d", upstream, sent, limit)
+	}
+}
+
 // NotMarkedOut asserts that no new work goes to a failure domain or VM more
 // than NewWorkGrace after outSince, when its mark was first seen. A zero
 // outSince means that it is not marked out.
--- a/internal/driftexchange/exchange_test.go
+++ b/internal/driftexchange/exchange_test.go
@@ -155,3 +155,15 @@
 		})
 	}
 }
+
+func TestParseRateLimit(t *testing.T) {
+	for text, want := range map[string]float64{"39.4": 39.4, "0": 0, "12": 12} {
+		got, ok := ParseRateLimit(text)
+		assert.True(t, ok, text)
+		assert.InDelta(t, want, got, 1e-9)
+	}
+	for _, text := range []string{"", "-1", "NaN", "Inf", "many", "1,2"} {
+		_, ok := ParseRateLimit(text)
+		assert.False(t, ok, text)
+	}
+}
--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -56,7 +56,7 @@
 		mayHaveRun = mayHaveRun || l.mayHaveRun
 	}
 	s.relay.checker.NoAttemptRan(s.query.Request.ID, mayHaveRun && !s.query.Route.Idempotent)
-	return refuse(cause, retrySoon)
+	return refuse(cause, max(retrySoon, s.retryAfter))
 }
 
 func (s *scatter) tryAnswerGather(now, partialAt time.Time) (Answer, bool) {
--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -60,16 +60,22 @@
 // units returns how many of the total units of an upstream, connections or
 // requests, belong to this VM. The caller holds the lock.
 func (r *Relay) units(e *upstreamState, share *unitShare, total int) int {
+	return r.unitsAmong(r.others, e, share, total)
+}
+
+// unitsAmong returns how many of the total units of an upstream belong to this
+// VM if they are divided among it and the others. The caller holds the lock.
+func (r *Relay) unitsAmong(others []VM, e *upstreamState, share *unitShare, total int) int {
 	if share.generation == r.generation && share.total == total {
 		return share.units
 	}
 	domainsWithUpstream := r.serviceDomains[e.Service]
 	near := func(domain string) bool { return domain == e.Domain || !domainsWithUpstream[domain] }
-	others := make([]driftshare.Owner, len(r.others))
-	for i, vm := range r.others {
-		others[i] = owner(near, vm)
+	owners := make([]driftshare.Owner, len(others))
+	for i, vm := range others {
+		owners[i] = owner(near, vm)
 	}
-	units := driftshare.Units(total, e.ID, owner(near, r.self), others)
+	units := driftshare.Units(total, e.ID, owner(near, r.self), owners)
 	*share = unitShare{generation: r.generation, total: total, units: units}
 	return units
 }
@@ -278,6 +284,9 @@
 		if now.Before(e.coldUntil) && !r.allowsColdRequest(e, published, now) {
 			continue
 		}
+		if !r.withinRateLimit(e, now) {
+			continue
+		}
 		cost := EstimateCost(e.candidate(now, w, r.self.Domain, !out.IsZero())) + rand.N(costJitter)
 		if !ok || cost < best.cost {
 			best, ok = placement{upstream: e, cost: cost}, true
--- a/internal/driftrelay/limit_test.go
+++ b/internal/driftrelay/limit_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"net/http"
 	"testing"
@@ -13,12 +12,8 @@
 
 	"github.com/almonddrift/almonddrift/internal/driftexchange"
 	"github.com/almonddrift/almonddrift/internal/driftroute"
-	"github.com/almonddrift/almonddrift/internal/drifttest"
 )
 
-// runRed also runs the tests that KNOWN-RED.txt lists as failing.
-var runRed = flag.Bool("red", false, "also run the tests that KNOWN-RED.txt lists")
-
 // Times and bounds of the published rule on named limits.
 const (
 	limitLearnTime = 4 * time.Second
@@ -159,7 +154,6 @@
 // TestNamedLimitWasPassed guards against sending an upstream more requests than
 // the limit that it names (found in simulated days of all deployments).
 func TestNamedLimitWasPassed(t *testing.T) {
-	drifttest.SkipKnownRed(t, "../../KNOWN-RED.txt", *runRed)
 	for _, c := range []limitCase{
 		{"two of three", 8, 8, 2, 31.1, 0},
 		{"two of three, a VM restarts", 8, 8, 2, 35.2, 13 * time.Second},
@@ -180,3 +174,66 @@
 		})
 	}
 }
+
+// TestLimitedServiceRefusedLate guards against holding requests that the rate
+// limits of all upstreams leave no room for until their deadline.
+func TestLimitedServiceRefusedLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := nonIdempotent()
+		w := newSimulation(1, 4, 50*time.Millisecond, route)
+		w.forEachUpstream(func(_ int, s *fakeUpstream) {
+			s.namedLimit, s.limitUntil = 8, time.Now().Add(time.Hour)
+		})
+		r := w.relay()
+		served := 0
+		for i := range 400 {
+			start := time.Now()
+			a := r.Serve(context.Background(), &driftexchange.Request{
+				ID: fmt.Sprintf("q%d", i), Method: http.MethodPost, Target: route.Prefix, Host: route.Host,
+			}, route.Prefix, start, 0)
+			if a.Status == http.StatusOK {
+				served++
+				continue
+			}
+			assert.Equal(t, http.StatusServiceUnavailable, a.Status)
+			assert.LessOrEqual(t, time.Since(start), route.LatencyObjective/4)
+			assert.GreaterOrEqual(t, a.RetryAfter, retrySoon)
+		}
+		t.Logf("%d of 400 served", served)
+		assert.Positive(t, served)
+		closeAll(r)
+	})
+}
+
+func TestRateLimitAllows(t *testing.T) {
+	assert.True(t, RateLimitAllows(8, 7, 1))
+	assert.False(t, RateLimitAllows(8, 8, 0), "the part of the span is used")
+	assert.False(t, RateLimitAllows(8, 2, 2), "the part of the second is used")
+	assert.True(t, RateLimitAllows(1, 0, 0))
+	assert.False(t, RateLimitAllows(0, 0, 0))
+}
+
+// TestLimitOfAnotherVM guards against applying the limit in an answer that another
+// VM has passed on to that VM.
+func TestLimitOfAnotherVM(t *testing.T) {
+	r := New(VM{Name: "vm"}, testHeaders)
+	header := http.Header{testHeaders.RateLimit: {"1"}}
+	for service, named := range map[string]bool{forwardService: false, "shard-0": true} {
+		e := newUpstreamState(Upstream{ID: "u", Service: service}, time.Now())
+		r.recordRateLimit(&attempt{upstream: e}, header, time.Now())
+		assert.Equal(t, named, e.rateLimit.named, service)
+	}
+}
+
+// TestLimitLiftedByLateReply guards against lifting a limit by a reply that the
+// upstream gave before it named the limit.
+func TestLimitLiftedByLateReply(t *testing.T) {
+	r := New(VM{Name: "vm"}, testHeaders)
+	e := newUpstreamState(Upstream{ID: "u", Service: "shard-0"}, time.Now())
+	start := time.Now()
+	r.recordRateLimit(&attempt{upstream: e, started: start}, http.Header{testHeaders.RateLimit: {"9.5"}}, start.Add(time.Second))
+	r.recordNoRateLimit(&attempt{upstream: e, started: start}, http.Header{}, start.Add(2*time.Second))
+	assert.True(t, e.rateLimit.named)
+	r.recordNoRateLimit(&attempt{upstream: e, started: start.Add(2 * time.Second)}, http.Header{}, start.Add(3*time.Second))
+	assert.False(t, e.rateLimit.named)
+}
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -26,6 +26,9 @@
 	extras     int
 	denied     int
 	refused    int
+	// retryAfter is when the first upstream whose rate limit is reached may get a
+	// request again, 0 if none is.
+	retryAfter time.Duration
 }
 
 // shardRequest is the part of a query that goes to one service: one shard of a
@@ -170,6 +173,12 @@
 	}, now)
 	if !ok {
 		hasCandidates := r.anyUsable(l.service, l.tried, now)
+		next, limited := r.rateLimitsEndAt(l.service, l.tried, now)
+		if limited && next.After(s.capacityWaitEnd()) {
+			l.notes = append(l.notes, "rate limit reached at every upstream")
+			s.retryAfter = max(s.retryAfter, next.Sub(now))
+			hasCandidates = false
+		}
 		if hasCandidates && !l.waiting {
 			l.notes = append(l.notes, "no room at any upstream")
 		}
@@ -255,18 +264,18 @@
 	case !s.mayRetry(l):
 		l.exhausted = true
 	case l.sent > 0 && !l.budgetSpent && !s.spendBudget(l, now, true):
-		l.waiting = now.Before(s.budgetWaitEnd())
+		l.waiting = now.Before(s.capacityWaitEnd())
 		l.exhausted = !l.waiting
 	default:
 		l.budgetSpent = !s.sendToNext(l, now)
 	}
 }
 
-// budgetWaitEnd returns when a request stops waiting for its service's budget.
-// A gather, which may already have most of its parts, waits until its answer is
-// due; others wait for a quarter of the objective, so that a refusal is not
-// delayed.
-func (s *scatter) budgetWaitEnd() time.Time {
+// capacityWaitEnd returns when a request stops waiting for its service's budget
+// or for the rate limits of its upstreams. A gather, which may already have most
+// of its parts, waits until its answer is due; others wait for a quarter of the
+// objective, so that a refusal is not delayed.
+func (s *scatter) capacityWaitEnd() time.Time {
 	if s.gather != nil {
 		return s.query.partialAnswerAt()
 	}
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -20,7 +20,7 @@
 func (r *Relay) startAttempt(q *Query, e *upstreamState, expected time.Duration, extra bool, deliver deliverFunc) (f *attempt, send func()) {
 	now := time.Now()
 	f = &attempt{upstream: e, started: now, expected: expected, version: q.Table.Config.Version}
-	r.countLimited(e, extra)
+	r.countLimited(q, e, extra, now)
 	e.inFlight = append(e.inFlight, f)
 	r.sendRate.count++
 	r.checker.NotLeaving(q.Request.ID, e.ID, e.leavingAt, now)
--- a/internal/driftrelay/upstream.go
+++ b/internal/driftrelay/upstream.go
@@ -84,6 +84,7 @@
 	coldSent     []bucket
 	connUnits    unitShare
 	coldUnits    unitShare
+	rateUnits    unitShare
 }
 
 // attempt is one request sent to one upstream.
