Read a load that has a fourth figure

Upstreams of some deployments add a figure to X-Server-Load, how long work takes on their machine now. The whole load was ignored then, so that placement went by this VM's own requests in flight alone, and callers waited in queues that were known.

Found while looking for the cause of LIMIT elsewhere: what a reply says about its sender was read by nobody.

--- a/internal/driftexchange/exchange.go
+++ b/internal/driftexchange/exchange.go
@@ -22,6 +22,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -160,21 +161,19 @@
 	Running, Waiting, Slots int
 }
 
-// ParseLoad parses a load of the form "running,waiting,slots".
+// ParseLoad parses a load of the form "running,waiting,slots". Further figures
+// may follow and are not used.
 func ParseLoad(text string) (load Load, ok bool) {
-	var values [3]int
-	for i := range values {
-		field, rest, more := cutField(text)
-		v, err := strconv.Atoi(field)
-		if err != nil || v < 0 || more != (i < len(values)-1) {
+	var values []int
+	for field := range strings.SplitSeq(text, ",") {
+		v, err := strconv.Atoi(strings.TrimSpace(field))
+		if err != nil || v < 0 {
 			return Load{}, false
 		}
-		values[i], text = v, rest
+		values = append(values, v)
+	}
+	if len(values) < 3 {
+		return Load{}, false
 	}
 	return Load{Running: values[0], Waiting: values[1], Slots: values[2]}, true
 }
-
-func cutField(text string) (field, rest string, more bool) {
-	b, a, found := bytes.Cut([]byte(text), []byte(","))
-	return string(bytes.TrimSpace(b)), string(a), found
-}
