Keep the load of an upstream apart from that of the VM that passed it on

A VM that forwards requests took X-Server-Load in the answer of an entry VM, which the upstream had set, for the load of the entry VM, and for 150 ms chose among entry VMs by the queue of one upstream. Found while looking for the cause of LIMIT elsewhere: what a reply says about its sender was applied to another one. Now the load in the answer of a VM is not used; its requests in flight are, as before. TestLoadOfAnotherVM failed before (9 running requests instead of 0).

--- a/internal/driftrelay/forward_test.go
+++ b/internal/driftrelay/forward_test.go
@@ -31,6 +31,17 @@
 	callerLeft                atomic.Int64
 }
 
+// TestLoadOfAnotherVM guards against taking the load of an upstream for that of the
+// VM that passed its answer on.
+func TestLoadOfAnotherVM(t *testing.T) {
+	r := New(VM{Name: "vm"}, testHeaders)
+	for service, running := range map[string]int{forwardService: 0, "shard-0": 9} {
+		e := newUpstreamState(Upstream{ID: "u", Service: service}, time.Now())
+		r.recordLoad(e, "9,4,2", time.Now())
+		assert.Equal(t, running, e.load.Running, service)
+	}
+}
+
 // forwardSimulation is a simulation with VMs that accept forwarded requests, by
 // address.
 type forwardSimulation struct {
--- a/internal/driftrelay/limit.go
+++ b/internal/driftrelay/limit.go
@@ -58,7 +58,7 @@
 func (r *Relay) recordRateLimit(f *attempt, header http.Header, now time.Time) {
 	e := f.upstream
 	text := header.Get(r.headers.RateLimit)
-	// A reply of another VM has the headers of the upstream that it asked.
+	// An answer of another VM has the headers of the upstream that it asked.
 	if text == "" || e.Service == forwardService {
 		return
 	}
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -132,6 +132,10 @@
 }
 
 func (r *Relay) recordLoad(e *upstreamState, text string, now time.Time) {
+	// An answer of another VM has the headers of the upstream that it asked.
+	if e.Service == forwardService {
+		return
+	}
 	if load, ok := driftexchange.ParseLoad(text); ok {
 		e.load, e.loadAt = load, now
 	}
