Log the eras of the store, and reads that bring nothing

On call could not tell a restored store from one that answers late: no line named its Store-Era, and event 144 was printed 40 times a second for lists of which nothing was taken. No decision changes.

--- a/internal/driftevent/catalogue.go
+++ b/internal/driftevent/catalogue.go
@@ -27,6 +27,7 @@
 	PlatformRestored  Code = 142
 	EntryIgnored      Code = 143
 	ChangesApplied    Code = 144
+	PlatformReverted  Code = 145
 	QueryStarted      Code = 200
 	QueryAnswered     Code = 201
 	QueryRefused      Code = 202
@@ -97,6 +98,7 @@
 	{PlatformRestored, "platform back", severityInfo},
 	{EntryIgnored, "entry ignored", severityWarning},
 	{ChangesApplied, "changes taken", severityInfo},
+	{PlatformReverted, "platform reverted", severityWarning},
 	{QueryStarted, "query started", severityTrace},
 	{QueryAnswered, "query answered", severityTrace},
 	{QueryRefused, "query refused", severityTrace},
--- a/internal/driftstate/reader.go
+++ b/internal/driftstate/reader.go
@@ -86,9 +86,14 @@
 type ReadResult struct {
 	Kind     ReadKind
 	Revision int64
+	Era      int64
 	Items    int
-	Err      error
-	Took     time.Duration
+	// Changed is set if the read changed the replica.
+	Changed bool
+	// Held is the revision that the replica held before the read.
+	Held int64
+	Err  error
+	Took time.Duration
 }
 
 // ReadKind identifies the call that a ReadResult describes.
@@ -161,11 +166,18 @@
 	if errors.Is(err, errors.NotFound) {
 		return
 	}
-	r.observe(ReadResult{Kind: ReadPull, Revision: c.Revision, Items: len(c.Items), Err: err, Took: time.Since(start)})
-	if err != nil {
-		return
-	}
-	if r.replica.Apply(c, time.Now()) {
+	r.apply(ReadPull, c, err, start)
+}
+
+// apply applies and announces the changes of a read, and reports its outcome.
+func (r *Reader) apply(kind ReadKind, c Changes, err error, start time.Time) {
+	held, _ := r.replica.Revision()
+	changed := err == nil && r.replica.Apply(c, time.Now())
+	r.observe(ReadResult{
+		Kind: kind, Revision: c.Revision, Era: c.Era, Items: len(c.Items), Changed: changed, Held: held,
+		Err: err, Took: time.Since(start),
+	})
+	if changed {
 		r.fleet.AnnounceRevision()
 	}
 }
@@ -254,18 +266,11 @@
 	return len(c.Items) > 0, err
 }
 
-// applyRead reports the outcome of a read, and applies and announces its
-// changes.
+// applyRead applies a read of the platform, and records whether it can be read.
 func (r *Reader) applyRead(kind ReadKind, c Changes, err error, start time.Time) {
-	r.observe(ReadResult{Kind: kind, Revision: c.Revision, Items: len(c.Items), Err: err, Took: time.Since(start)})
 	r.lastReadFailed.Store(err != nil)
 	r.fleet.SetPlatformUnreadable(err != nil && !errors.Is(err, ErrCompacted))
-	if err != nil {
-		return
-	}
-	if r.replica.Apply(c, time.Now()) {
-		r.fleet.AnnounceRevision()
-	}
+	r.apply(kind, c, err, start)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/driftstate/replica.go
+++ b/internal/driftstate/replica.go
@@ -37,6 +37,8 @@
 	Full     bool
 	Items    []Item
 	Revision int64
+	// Era grows each time the platform was restored from an older copy.
+	Era int64
 	// Confirmed is a time at which Revision was the newest one on the platform.
 	Confirmed time.Time
 }
