--- a/internal/driftgossip/gossip_test.go
+++ b/internal/driftgossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"net"
 	"os"
@@ -15,8 +16,12 @@
 
 	"github.com/almonddrift/almonddrift/internal/driftgossip/driftgossippb"
 	"github.com/almonddrift/almonddrift/internal/driftstate"
+	"github.com/almonddrift/almonddrift/internal/drifttest"
 )
 
+// runRed also runs the tests that KNOWN-RED.txt lists as failing.
+var runRed = flag.Bool("red", false, "also run the tests that KNOWN-RED.txt lists")
+
 // lan carries datagrams between fake sockets; traffic of addresses in cut is lost.
 type lan struct {
 	mu      sync.Mutex
@@ -228,6 +233,32 @@
 	})
 }
 
+// TestRestoredStateStayedOnOneVM guards against keeping state of a higher revision
+// while another VM holds what a restored platform published.
+func TestRestoredStateStayedOnOneVM(t *testing.T) {
+	drifttest.SkipKnownRed(t, "../../KNOWN-RED.txt", *runRed)
+	synctest.Test(t, func(t *testing.T) {
+		nodes := startFleet(t, newLAN(), 8)
+		time.Sleep(2 * time.Second)
+		publish := func(node int, era, revision int64, value string) {
+			nodes[node].replica.Apply(driftstate.Changes{
+				Full: true, Era: era, Revision: revision, Confirmed: time.Now(),
+				Items: []driftstate.Item{{Key: "a", Value: []byte(value), Revision: revision}},
+			}, time.Now())
+			nodes[node].fleet.AnnounceRevision()
+			time.Sleep(time.Second)
+		}
+		publish(2, 1, 7, "before")
+		publish(5, 2, 5, "restored")
+		for _, n := range nodes {
+			items := n.replica.LiveItems()
+			assert.Len(t, items, 1)
+			assert.Equal(t, "restored", string(items[0].Value), n.address)
+		}
+		stopFleet(nodes)
+	})
+}
+
 func TestMerge(t *testing.T) {
 	now := time.Now()
 	entry := func(boot, beat uint64, dead bool) *driftgossippb.Entry {
