Order published state by era and revision

Cause: the revision alone ordered all published state, in the replica, between VMs and in the decoder. A store that comes back from a copy gives its revisions out again, so what was written after its return looked older than what was held and was ignored; its watches got 410 and its readers listed it 40 times a second.

Now a revision is the store's era and number, compared in this order everywhere. A watch that is answered in a newer era is followed by a list, and only a list leads a replica into an era. What the list lacks is kept for 2 s, in which those that wrote it write it again. A list that is older than what is held, in the same era, is a failed read with backoff.

--- a/internal/driftgossip/call.go
+++ b/internal/driftgossip/call.go
@@ -55,7 +55,7 @@
 
 // Changes implements ChangesClient. The address is the one that the VM gossips
 // from; only its IP address is used.
-func (t *TwirpClient) Changes(ctx context.Context, address string, after int64) (c driftstate.Changes, err error) {
+func (t *TwirpClient) Changes(ctx context.Context, address string, after driftstate.Revision) (c driftstate.Changes, err error) {
 	defer errors.DeferredAnnotatef(&err, "VM at %s", address)
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
@@ -64,17 +64,21 @@
 	base := "http://" + net.JoinHostPort(host, t.port)
 	client := driftgossippb.NewGossipProtobufClient(base, t.client)
 	asked := time.Now()
-	reply, err := client.Changes(ctx, &driftgossippb.ChangesRequest{After: after})
+	reply, err := client.Changes(ctx, &driftgossippb.ChangesRequest{After: after.Number, Era: after.Era})
 	if err != nil {
 		return c, err
 	}
-	c = driftstate.Changes{Full: reply.GetFull(), Revision: reply.GetRevision()}
+	c = driftstate.Changes{
+		Full:     reply.GetFull(),
+		Revision: driftstate.Revision{Era: reply.GetEra(), Number: reply.GetRevision()},
+	}
 	if reply.GetAge() < unconfirmedAgeMillis {
 		c.Confirmed = asked.Add(-time.Duration(reply.GetAge()) * time.Millisecond)
 	}
 	for _, i := range reply.GetItems() {
 		c.Items = append(c.Items, driftstate.Item{
-			Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision(), Removed: i.GetRemoved(),
+			Key: i.GetKey(), Value: i.GetValue(), Removed: i.GetRemoved(),
+			Revision: driftstate.Revision{Era: i.GetEra(), Number: i.GetRevision()},
 		})
 	}
 	return c, nil
@@ -90,14 +94,16 @@
 
 // Changes implements driftgossippb.Gossip.
 func (s *Server) Changes(_ context.Context, request *driftgossippb.ChangesRequest) (*driftgossippb.ChangesReply, error) {
-	c := s.replica.ChangesAfter(request.GetAfter())
-	reply := &driftgossippb.ChangesReply{Full: c.Full, Revision: c.Revision, Age: unconfirmedAgeMillis}
+	c := s.replica.ChangesAfter(driftstate.Revision{Era: request.GetEra(), Number: request.GetAfter()})
+	reply := &driftgossippb.ChangesReply{
+		Full: c.Full, Era: c.Revision.Era, Revision: c.Revision.Number, Age: unconfirmedAgeMillis,
+	}
 	if !c.Confirmed.IsZero() {
 		reply.Age = uint32(min(time.Since(c.Confirmed).Milliseconds(), unconfirmedAgeMillis))
 	}
 	for _, i := range c.Items {
 		reply.Items = append(reply.Items, &driftgossippb.Item{
-			Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed,
+			Key: i.Key, Value: i.Value, Era: i.Revision.Era, Revision: i.Revision.Number, Removed: i.Removed,
 		})
 	}
 	return reply, nil
--- a/internal/driftgossip/gossip.go
+++ b/internal/driftgossip/gossip.go
@@ -174,7 +174,7 @@
 // ChangesClient asks another VM for changes.
 type ChangesClient interface {
 	// Changes returns the changes after the revision from the VM at the address.
-	Changes(ctx context.Context, address string, after int64) (driftstate.Changes, error)
+	Changes(ctx context.Context, address string, after driftstate.Revision) (driftstate.Changes, error)
 }
 
 // Option configures a Fleet.
@@ -290,12 +290,12 @@
 
 // PullChanges implements driftstate.Fleet. It asks the VM that holds the newest
 // revision.
-func (f *Fleet) PullChanges(ctx context.Context, after int64) (c driftstate.Changes, err error) {
+func (f *Fleet) PullChanges(ctx context.Context, after driftstate.Revision) (c driftstate.Changes, err error) {
 	best, ok := f.newestHolder(after)
 	if !ok {
-		return c, errors.NotFoundf("VM with a revision after %d", after)
+		return c, errors.NotFoundf("VM with a revision after %s", after)
 	}
-	defer errors.DeferredAnnotatef(&err, "changes after %d from VM %q", after, best.Name)
+	defer errors.DeferredAnnotatef(&err, "changes after %s from VM %q", after, best.Name)
 	return f.client.Changes(ctx, best.Address, after)
 }
 
@@ -306,10 +306,10 @@
 // newestHolder returns a VM with the newest revision after the given one in this
 // VM's failure domain, if there is one. Else a gateway gets one of any domain, and
 // so do others after remotePullDelay.
-func (f *Fleet) newestHolder(after int64) (best Member, ok bool) {
+func (f *Fleet) newestHolder(after driftstate.Revision) (best Member, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	newer := slices.DeleteFunc(f.table.alive(), func(m Member) bool { return m.Revision <= after })
+	newer := slices.DeleteFunc(f.table.alive(), func(m Member) bool { return !m.Revision.After(after) })
 	near, far := f.table.splitByDomain(newer)
 	now := time.Now()
 	if len(newer) > 0 && f.newsSince.IsZero() {
@@ -320,7 +320,7 @@
 		holders = far
 	}
 	for _, m := range sample(holders, len(holders)) {
-		if !ok || m.Revision > best.Revision {
+		if !ok || m.Revision.After(best.Revision) {
 			best, ok = m, true
 		}
 	}
--- a/internal/driftgossip/gossip_test.go
+++ b/internal/driftgossip/gossip_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"net"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/almonddrift/almonddrift/internal/driftgossip/driftgossippb"
 	"github.com/almonddrift/almonddrift/internal/driftstate"
@@ -110,7 +112,7 @@
 // replicas answers calls for changes without a network.
 type replicas map[string]*driftstate.Replica
 
-func (r replicas) Changes(_ context.Context, address string, after int64) (driftstate.Changes, error) {
+func (r replicas) Changes(_ context.Context, address string, after driftstate.Revision) (driftstate.Changes, error) {
 	return r[address].ChangesAfter(after), nil
 }
 
@@ -220,14 +222,14 @@
 		nodes := startFleet(t, newLAN(), 8)
 		time.Sleep(2 * time.Second)
 		nodes[2].replica.Apply(driftstate.Changes{
-			Full: true, Revision: 7, Confirmed: time.Now(),
-			Items: []driftstate.Item{{Key: "a", Value: []byte("x"), Revision: 7}},
+			Full: true, Revision: driftstate.Revision{Number: 7}, Confirmed: time.Now(),
+			Items: []driftstate.Item{{Key: "a", Value: []byte("x"), Revision: driftstate.Revision{Number: 7}}},
 		}, time.Now())
 		nodes[2].fleet.AnnounceRevision()
 		synctest.Wait()
 		for _, n := range nodes {
 			held, _ := n.replica.Revision()
-			assert.EqualValues(t, 7, held, n.address)
+			assert.EqualValues(t, 7, held.Number, n.address)
 		}
 		stopFleet(nodes)
 	})
@@ -241,9 +243,10 @@
 		nodes := startFleet(t, newLAN(), 8)
 		time.Sleep(2 * time.Second)
 		publish := func(node int, era, revision int64, value string) {
+			at := driftstate.Revision{Era: era, Number: revision}
 			nodes[node].replica.Apply(driftstate.Changes{
-				Full: true, Era: era, Revision: revision, Confirmed: time.Now(),
-				Items: []driftstate.Item{{Key: "a", Value: []byte(value), Revision: revision}},
+				Full: true, Revision: at, Confirmed: time.Now(),
+				Items: []driftstate.Item{{Key: "a", Value: []byte(value), Revision: at}},
 			}, time.Now())
 			nodes[node].fleet.AnnounceRevision()
 			time.Sleep(time.Second)
@@ -386,3 +389,27 @@
 		})
 	}
 }
+
+// TestErasOnTheWire checks that the eras of a revision and of items reach the VM that
+// asks for changes, and that its own era reaches the other one.
+func TestErasOnTheWire(t *testing.T) {
+	at := driftstate.Revision{Era: 3, Number: 5}
+	replica := driftstate.NewReplica()
+	replica.Apply(driftstate.Changes{
+		Full: true, Revision: at, Items: []driftstate.Item{{Key: "a", Value: []byte("x"), Revision: at}},
+	}, time.Now())
+	server := httptest.NewServer(NewHandler(replica))
+	defer server.Close()
+	_, port, err := net.SplitHostPort(server.Listener.Addr().String())
+	require.NoError(t, err)
+	client := NewTwirpClient(port)
+	c, err := client.Changes(t.Context(), "127.0.0.1:1", driftstate.Revision{Era: 2, Number: 9})
+	require.NoError(t, err)
+	assert.True(t, c.Full)
+	assert.Equal(t, at, c.Revision)
+	assert.Equal(t, at, c.Items[0].Revision)
+	c, err = client.Changes(t.Context(), "127.0.0.1:1", at)
+	require.NoError(t, err)
+	assert.False(t, c.Full)
+	assert.Equal(t, at, revisionOf(toEntry(Member{Revision: at})))
+}
--- a/internal/driftgossip/large_test.go
+++ b/internal/driftgossip/large_test.go
@@ -217,7 +217,7 @@
 }
 
 // Changes implements ChangesClient.
-func (c countedCalls) Changes(ctx context.Context, address string, after int64) (driftstate.Changes, error) {
+func (c countedCalls) Changes(ctx context.Context, address string, after driftstate.Revision) (driftstate.Changes, error) {
 	if addressDomain(address) != c.domain {
 		c.crossed.Add(1)
 	}
@@ -242,14 +242,14 @@
 		for revision := int64(1); revision <= 3; revision++ {
 			crossed.Store(0)
 			nodes[7].replica.Apply(driftstate.Changes{
-				Full: true, Revision: revision, Confirmed: time.Now(),
-				Items: []driftstate.Item{{Key: fmt.Sprint(revision), Revision: revision}},
+				Full: true, Revision: driftstate.Revision{Number: revision}, Confirmed: time.Now(),
+				Items: []driftstate.Item{{Key: fmt.Sprint(revision), Revision: driftstate.Revision{Number: revision}}},
 			}, time.Now())
 			nodes[7].fleet.AnnounceRevision()
 			time.Sleep(time.Second)
 			for _, n := range nodes {
 				held, _ := n.replica.Revision()
-				assert.Equal(t, revision, held, n.address)
+				assert.Equal(t, revision, held.Number, n.address)
 			}
 			assert.LessOrEqual(t, crossed.Load(), int64(gatewaysPerDomain*(largeDomains-1)))
 		}
--- a/internal/driftgossip/member.go
+++ b/internal/driftgossip/member.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/almonddrift/almonddrift/internal/driftgossip/driftgossippb"
+	"github.com/almonddrift/almonddrift/internal/driftstate"
 )
 
 // Member is the state of another VM as this VM knows it.
@@ -40,7 +41,7 @@
 	// gateway of its domain.
 	Unreached []string
 	// Revision is the newest revision that the VM is known to hold.
-	Revision int64
+	Revision driftstate.Revision
 	// LastHeard is when a datagram of the VM last arrived, or when this VM started
 	// to monitor it.
 	LastHeard time.Time
@@ -104,7 +105,7 @@
 	m := Member{
 		Name: e.GetName(), Domain: e.GetDomain(), Address: e.GetAddress(),
 		Incarnation: e.GetBoot(), Heartbeat: e.GetBeat(), Dead: e.GetDead(), Leaving: e.GetLeaving(),
-		Ready: e.GetReady(), PlatformUnreadable: e.GetBlind(), Revision: e.GetRevision(),
+		Ready: e.GetReady(), PlatformUnreadable: e.GetBlind(), Revision: revisionOf(e),
 		Capacity: e.GetSize(), Load: e.GetLoad(), Known: e.GetKnown(), Unreached: e.GetUnreached(),
 		LastHeard: held.LastHeard, StatusChanged: held.StatusChanged, rank: held.rank,
 	}
@@ -117,6 +118,11 @@
 	t.store(held, m, known, now)
 }
 
+// revisionOf returns the revision that the VM of an entry holds.
+func revisionOf(e *driftgossippb.Entry) driftstate.Revision {
+	return driftstate.Revision{Era: e.GetEra(), Number: e.GetRevision()}
+}
+
 // confirmAlive handles an entry that is not newer than the known one. A direct
 // one refreshes LastHeard; an outdated report of a death makes this VM send its
 // newer entry again.
@@ -259,7 +265,7 @@
 func toEntry(m Member) *driftgossippb.Entry {
 	return &driftgossippb.Entry{
 		Name: m.Name, Domain: m.Domain, Address: m.Address, Boot: m.Incarnation, Beat: m.Heartbeat, Dead: m.Dead,
-		Leaving: m.Leaving, Ready: m.Ready, Blind: m.PlatformUnreadable, Revision: m.Revision, Age: unconfirmedAgeMillis,
+		Leaving: m.Leaving, Ready: m.Ready, Blind: m.PlatformUnreadable, Era: m.Revision.Era, Revision: m.Revision.Number, Age: unconfirmedAgeMillis,
 		Size: m.Capacity, Load: m.Load, Known: m.Known, Unreached: m.Unreached,
 	}
 }
--- a/internal/driftgossip/receive.go
+++ b/internal/driftgossip/receive.go
@@ -90,9 +90,9 @@
 // reports that the sender's is newer.
 func (f *Fleet) noteRevision(sender *driftgossippb.Entry, now time.Time) {
 	if sender.GetAge() < unconfirmedAgeMillis {
-		f.replica.Confirm(sender.GetRevision(), now.Add(-time.Duration(sender.GetAge())*time.Millisecond))
+		f.replica.Confirm(revisionOf(sender), now.Add(-time.Duration(sender.GetAge())*time.Millisecond))
 	}
-	if revision, _ := f.replica.Revision(); sender.GetRevision() > revision {
+	if held, _ := f.replica.Revision(); revisionOf(sender).After(held) {
 		f.onNewerRevision()
 	}
 }
--- a/internal/driftgossip/send.go
+++ b/internal/driftgossip/send.go
@@ -158,7 +158,7 @@
 	e := &driftgossippb.Entry{
 		Name: f.self.Name, Domain: f.self.Domain, Address: f.self.Address,
 		Boot: f.self.Incarnation, Beat: f.heartbeat, Leaving: f.leaving, Ready: f.ready,
-		Blind: f.platformUnreadable, Revision: revision, Age: unconfirmedAgeMillis,
+		Blind: f.platformUnreadable, Era: revision.Era, Revision: revision.Number, Age: unconfirmedAgeMillis,
 		Size: f.self.Capacity, Load: f.load, Known: uint32(f.table.knownVMs(now)),
 		Unreached: f.table.domains.unreached,
 	}
--- a/internal/driftstate/reader.go
+++ b/internal/driftstate/reader.go
@@ -13,14 +13,23 @@
 // revision that a watch started from.
 const ErrCompacted = errors.ConstError("history compacted")
 
+// ErrReverted reports that the platform was restored from an older copy since the
+// revision that a watch started from.
+const ErrReverted = errors.ConstError("platform restored from an older copy")
+
+// ErrOlder reports that the platform listed an older revision than the one held,
+// in the same era.
+const ErrOlder = errors.ConstError("platform lists an older revision than the one held")
+
 // Source reads what the platform publishes.
 type Source interface {
 	// List returns all items. With stale set the result may be seconds old, which
 	// costs the platform less.
 	List(ctx context.Context, stale bool) (Changes, error)
 	// Watch returns the changes after the revision, or none after the wait. It
-	// returns ErrCompacted if the platform no longer has the history.
-	Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error)
+	// returns ErrCompacted if the platform no longer has the history. The era of
+	// the result is that of the platform, also with an error.
+	Watch(ctx context.Context, after Revision, wait time.Duration) (Changes, error)
 }
 
 // Fleet gives a reader access to the other VMs.
@@ -30,7 +39,7 @@
 	// PullChanges returns the changes after the revision from a VM that holds a
 	// newer one. It returns a NotFound error if no such VM is known, and another
 	// error if the VM did not answer.
-	PullChanges(ctx context.Context, after int64) (Changes, error)
+	PullChanges(ctx context.Context, after Revision) (Changes, error)
 	// SetPlatformUnreadable tells other VMs whether this one fails to read the
 	// platform.
 	SetPlatformUnreadable(unreadable bool)
@@ -84,14 +93,14 @@
 
 // ReadResult is the outcome of one call to the platform or to another VM.
 type ReadResult struct {
-	Kind     ReadKind
-	Revision int64
-	Era      int64
+	Kind ReadKind
+	// Revision is that of the answer. With an error only its era is set, if known.
+	Revision Revision
 	Items    int
 	// Changed is set if the read changed the replica.
 	Changed bool
 	// Held is the revision that the replica held before the read.
-	Held int64
+	Held Revision
 	Err  error
 	Took time.Duration
 }
@@ -174,7 +183,7 @@
 	held, _ := r.replica.Revision()
 	changed := err == nil && r.replica.Apply(c, time.Now())
 	r.observe(ReadResult{
-		Kind: kind, Revision: c.Revision, Era: c.Era, Items: len(c.Items), Changed: changed, Held: held,
+		Kind: kind, Revision: c.Revision, Items: len(c.Items), Changed: changed, Held: held,
 		Err: err, Took: time.Since(start),
 	})
 	if changed {
@@ -227,17 +236,17 @@
 // readDue reports whether this VM should read the platform now.
 func (r *Reader) readDue() bool {
 	revision, confirmed := r.replica.Revision()
-	return revision == 0 || r.fleet.IsPlatformReader() || time.Since(confirmed) > directReadAge
+	return revision.IsZero() || r.fleet.IsPlatformReader() || time.Since(confirmed) > directReadAge
 }
 
 func (r *Reader) read(ctx context.Context) error {
 	revision, _ := r.replica.Revision()
-	if revision == 0 {
+	if revision.IsZero() {
 		return r.list(ctx, !r.lastReadFailed.Load())
 	}
 	changed, err := r.watch(ctx, revision)
 	switch {
-	case errors.Is(err, ErrCompacted):
+	case errors.Is(err, ErrCompacted), errors.Is(err, ErrReverted):
 		return r.list(ctx, false)
 	case changed:
 		sleep(ctx, coalescePause)
@@ -253,15 +262,23 @@
 	if stale {
 		c.Confirmed = time.Time{}
 	}
+	held, _ := r.replica.Revision()
 	r.applyRead(ReadList, c, err, start)
+	if err == nil && held.After(c.Revision) {
+		return ErrOlder
+	}
 	return err
 }
 
-func (r *Reader) watch(ctx context.Context, after int64) (changed bool, err error) {
+func (r *Reader) watch(ctx context.Context, after Revision) (changed bool, err error) {
 	bounded, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
 	start := time.Now()
 	c, err := r.source.Watch(bounded, after, watchWait)
+	if err == nil && c.Revision.Era > after.Era {
+		// The changes before those of the answer are unknown.
+		err = ErrReverted
+	}
 	r.applyRead(ReadWatch, c, err, start)
 	return len(c.Items) > 0, err
 }
@@ -269,7 +286,7 @@
 // applyRead applies a read of the platform, and records whether it can be read.
 func (r *Reader) applyRead(kind ReadKind, c Changes, err error, start time.Time) {
 	r.lastReadFailed.Store(err != nil)
-	r.fleet.SetPlatformUnreadable(err != nil && !errors.Is(err, ErrCompacted))
+	r.fleet.SetPlatformUnreadable(err != nil && !errors.Is(err, ErrCompacted) && !errors.Is(err, ErrReverted))
 	r.apply(kind, c, err, start)
 }
 
--- a/internal/driftstate/replica.go
+++ b/internal/driftstate/replica.go
@@ -6,6 +6,11 @@
 // exactly what changed after a revision. An item is never replaced by an older
 // revision of it, whichever source that comes from.
 //
+// A platform may be restored from an older copy of itself: it loses its latest
+// changes, and gives their revisions to others. It then names a new era. Only a
+// full list leads a replica into a new era. Items that the list lacks are kept
+// for a while, since those that wrote them write them again.
+//
 // # Usage
 //
 //	replica := driftstate.NewReplica()
@@ -25,7 +30,7 @@
 type Item struct {
 	Key      string
 	Value    []byte
-	Revision int64
+	Revision Revision
 	Removed  bool
 	// AppliedAt is the local time at which this replica applied the item.
 	AppliedAt time.Time
@@ -36,9 +41,7 @@
 type Changes struct {
 	Full     bool
 	Items    []Item
-	Revision int64
-	// Era grows each time the platform was restored from an older copy.
-	Era int64
+	Revision Revision
 	// Confirmed is a time at which Revision was the newest one on the platform.
 	Confirmed time.Time
 }
@@ -47,17 +50,23 @@
 // changes; a VM that is further behind gets all items.
 const tombstoneLifetime = 30 * time.Second
 
+// restoreGrace is how long items are kept that a restored platform lacks. On the
+// published sites what was lost is back within 2 s of the platform's return.
+const restoreGrace = 2 * time.Second
+
 // Replica is a copy of the published items. It is safe for concurrent use.
 type Replica struct {
 	changed chan struct{}
 
 	mu        sync.Mutex
 	items     map[string]Item
-	revision  int64
+	revision  Revision
 	confirmed time.Time
+	// eraSince is when the replica took the first list of the era.
+	eraSince time.Time
 	// compactedRevision is the revision up to which removals are unknown: their
 	// tombstones were dropped, or a full list came without them.
-	compactedRevision int64
+	compactedRevision Revision
 }
 
 // NewReplica returns an empty replica.
@@ -72,7 +81,7 @@
 // Revision returns the newest revision that the replica holds completely, and
 // when the platform last confirmed that it was the newest. Both are zero before
 // the first read.
-func (r *Replica) Revision() (int64, time.Time) {
+func (r *Replica) Revision() (Revision, time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.revision, r.confirmed
@@ -92,37 +101,71 @@
 }
 
 // Apply merges changes into the replica and reports whether any item changed.
-// Items that are not newer than the replica's are ignored, and so are partial
-// changes before the first full list.
+// Items that are not newer than the replica's are ignored, and so are changes of
+// an earlier era, and partial changes before the first full list of an era.
 func (r *Replica) Apply(c Changes, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !c.Full && r.revision == 0 {
+	newEra := c.Revision.Era > r.revision.Era || r.revision.IsZero()
+	if (newEra && !c.Full) || c.Revision.Era < r.revision.Era {
 		return false
 	}
+	if newEra {
+		r.eraSince = now
+	}
 	changed := false
 	for _, item := range c.Items {
 		changed = r.applyItem(item, now) || changed
 	}
-	if c.Full && c.Revision >= r.revision {
+	if c.Full && !r.revision.After(c.Revision) {
 		changed = r.removeMissing(c, now) || changed
-		r.compactedRevision = max(r.compactedRevision, c.Revision)
+		r.compactedRevision = newest(r.compactedRevision, c.Revision)
 	}
-	r.revision = max(r.revision, c.Revision)
+	r.revision = newest(r.revision, c.Revision)
 	r.confirm(c.Revision, c.Confirmed)
 	r.dropTombstones(now)
 	if changed {
-		select {
-		case r.changed <- struct{}{}:
-		default:
-		}
+		r.signalChange()
 	}
 	return changed
 }
 
+func (r *Replica) signalChange() {
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Tick removes the items of an earlier era that were not written again within
+// restoreGrace. It should be called a few times a second.
+func (r *Replica) Tick(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.keepsEarlierEra(now) {
+		return
+	}
+	changed := false
+	for key, held := range r.items {
+		if !held.Removed && held.Revision.Era < r.revision.Era {
+			r.items[key] = Item{Key: key, Revision: r.revision, Removed: true, AppliedAt: now}
+			changed = true
+		}
+	}
+	if changed {
+		r.signalChange()
+	}
+}
+
+// keepsEarlierEra reports whether items of an earlier era are still kept. The
+// caller holds the lock.
+func (r *Replica) keepsEarlierEra(now time.Time) bool {
+	return now.Sub(r.eraSince) < restoreGrace
+}
+
 // Confirm records that the revision was the newest one on the platform at the
 // given time. It has no effect if the replica holds an older revision.
-func (r *Replica) Confirm(revision int64, at time.Time) {
+func (r *Replica) Confirm(revision Revision, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.confirm(revision, at)
@@ -136,18 +179,18 @@
 	r.confirmed = time.Time{}
 }
 
-func (r *Replica) confirm(revision int64, at time.Time) {
-	if r.revision >= revision && at.After(r.confirmed) {
+func (r *Replica) confirm(revision Revision, at time.Time) {
+	if !revision.After(r.revision) && at.After(r.confirmed) {
 		r.confirmed = at
 	}
 }
 
 func (r *Replica) applyItem(item Item, now time.Time) bool {
 	held, ok := r.items[item.Key]
-	if ok && held.Revision >= item.Revision {
+	if ok && !item.Revision.After(held.Revision) {
 		return false
 	}
-	if !ok && item.Removed && item.Revision <= r.compactedRevision {
+	if !ok && item.Removed && !item.Revision.After(r.compactedRevision) {
 		return false
 	}
 	item.AppliedAt = now
@@ -156,7 +199,7 @@
 }
 
 // removeMissing turns items that are missing from a full list into tombstones,
-// unless they are newer than the list.
+// unless they are newer than the list or of an earlier era that is still kept.
 func (r *Replica) removeMissing(c Changes, now time.Time) bool {
 	listed := make(map[string]bool, len(c.Items))
 	for _, item := range c.Items {
@@ -164,7 +207,10 @@
 	}
 	changed := false
 	for key, held := range r.items {
-		if held.Removed || listed[key] || held.Revision > c.Revision {
+		if held.Removed || listed[key] || held.Revision.After(c.Revision) {
+			continue
+		}
+		if held.Revision.Era < c.Revision.Era && r.keepsEarlierEra(now) {
 			continue
 		}
 		r.items[key] = Item{Key: key, Revision: c.Revision, Removed: true, AppliedAt: now}
@@ -177,7 +223,7 @@
 func (r *Replica) dropTombstones(now time.Time) {
 	for key, held := range r.items {
 		if held.Removed && now.Sub(held.AppliedAt) > tombstoneLifetime {
-			r.compactedRevision = max(r.compactedRevision, held.Revision)
+			r.compactedRevision = newest(r.compactedRevision, held.Revision)
 			delete(r.items, key)
 		}
 	}
@@ -185,14 +231,15 @@
 
 // ChangesAfter returns the changes after the revision, or all items if the
 // replica does not know every removal since then.
-func (r *Replica) ChangesAfter(revision int64) Changes {
+func (r *Replica) ChangesAfter(revision Revision) Changes {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := Changes{
-		Full: revision < r.compactedRevision || revision == 0, Revision: r.revision, Confirmed: r.confirmed,
+		Full:     r.compactedRevision.After(revision) || revision.Era != r.revision.Era || revision.IsZero(),
+		Revision: r.revision, Confirmed: r.confirmed,
 	}
 	for _, item := range r.items {
-		if c.Full && !item.Removed || !c.Full && item.Revision > revision {
+		if c.Full && !item.Removed || !c.Full && item.Revision.After(revision) {
 			c.Items = append(c.Items, item)
 		}
 	}
--- a/internal/driftstate/replica_test.go
+++ b/internal/driftstate/replica_test.go
@@ -14,12 +14,15 @@
 	"pgregory.net/rapid"
 )
 
+// number returns a revision of a platform that names no era.
+func number(n int64) Revision { return Revision{Number: n} }
+
 func item(key string, revision int64) Item {
-	return Item{Key: key, Value: []byte(strconv.FormatInt(revision, 10)), Revision: revision}
+	return Item{Key: key, Value: []byte(strconv.FormatInt(revision, 10)), Revision: number(revision)}
 }
 
 func removal(key string, revision int64) Item {
-	return Item{Key: key, Revision: revision, Removed: true}
+	return Item{Key: key, Revision: number(revision), Removed: true}
 }
 
 func keys(r *Replica) []string {
@@ -33,43 +36,43 @@
 
 func TestReplica(t *testing.T) {
 	now := time.Now()
-	full := Changes{Full: true, Revision: 10, Items: []Item{item("a", 3), item("b", 9)}, Confirmed: now}
+	full := Changes{Full: true, Revision: number(10), Items: []Item{item("a", 3), item("b", 9)}, Confirmed: now}
 	t.Run("changes before a full read are ignored", func(t *testing.T) {
 		r := NewReplica()
-		assert.False(t, r.Apply(Changes{Revision: 5, Items: []Item{item("a", 5)}}, now))
+		assert.False(t, r.Apply(Changes{Revision: number(5), Items: []Item{item("a", 5)}}, now))
 		assert.Empty(t, keys(r))
 	})
 	t.Run("an older list removes and reverts nothing", func(t *testing.T) {
 		r := NewReplica()
 		r.Apply(full, now)
-		r.Apply(Changes{Revision: 12, Items: []Item{item("a", 11), item("c", 12)}}, now)
-		assert.False(t, r.Apply(Changes{Full: true, Revision: 8, Items: []Item{item("a", 3)}}, now))
+		r.Apply(Changes{Revision: number(12), Items: []Item{item("a", 11), item("c", 12)}}, now)
+		assert.False(t, r.Apply(Changes{Full: true, Revision: number(8), Items: []Item{item("a", 3)}}, now))
 		assert.Equal(t, []string{"a@11", "b@9", "c@12"}, keys(r))
 	})
 	t.Run("a newer list removes items that it does not contain", func(t *testing.T) {
 		r := NewReplica()
 		r.Apply(full, now)
-		r.Apply(Changes{Full: true, Revision: 20, Items: []Item{item("b", 9)}}, now)
+		r.Apply(Changes{Full: true, Revision: number(20), Items: []Item{item("b", 9)}}, now)
 		assert.Equal(t, []string{"b@9"}, keys(r))
-		assert.True(t, r.ChangesAfter(10).Full, "removals before the list are unknown")
-		assert.False(t, r.ChangesAfter(20).Full)
+		assert.True(t, r.ChangesAfter(number(10)).Full, "removals before the list are unknown")
+		assert.False(t, r.ChangesAfter(number(20)).Full)
 	})
 	t.Run("a dropped tombstone makes other VMs read all items", func(t *testing.T) {
 		r := NewReplica()
 		r.Apply(full, now)
-		r.Apply(Changes{Revision: 11, Items: []Item{removal("a", 11)}}, now)
-		assert.False(t, r.ChangesAfter(10).Full)
-		r.Apply(Changes{Revision: 12, Items: []Item{item("c", 12)}}, now.Add(2*tombstoneLifetime))
-		assert.True(t, r.ChangesAfter(10).Full)
-		assert.False(t, r.ChangesAfter(11).Full)
+		r.Apply(Changes{Revision: number(11), Items: []Item{removal("a", 11)}}, now)
+		assert.False(t, r.ChangesAfter(number(10)).Full)
+		r.Apply(Changes{Revision: number(12), Items: []Item{item("c", 12)}}, now.Add(2*tombstoneLifetime))
+		assert.True(t, r.ChangesAfter(number(10)).Full)
+		assert.False(t, r.ChangesAfter(number(11)).Full)
 	})
 	t.Run("only a held revision is confirmed", func(t *testing.T) {
 		r := NewReplica()
 		r.Apply(full, now)
-		r.Confirm(11, now.Add(time.Second))
+		r.Confirm(number(11), now.Add(time.Second))
 		_, confirmed := r.Revision()
 		assert.Equal(t, now, confirmed)
-		r.Confirm(10, now.Add(time.Second))
+		r.Confirm(number(10), now.Add(time.Second))
 		_, confirmed = r.Revision()
 		assert.Equal(t, now.Add(time.Second), confirmed)
 		r.InvalidateConfirmation()
@@ -85,7 +88,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Now()
 		source := NewReplica()
-		source.Apply(Changes{Full: true, Revision: 1, Items: []Item{item("k0", 1)}}, now)
+		source.Apply(Changes{Full: true, Revision: number(1), Items: []Item{item("k0", 1)}}, now)
 		replicas := []*Replica{NewReplica(), NewReplica()}
 		for revision := int64(2); revision < 40; revision++ {
 			key := "k" + strconv.Itoa(rapid.IntRange(0, 5).Draw(t, "key"))
@@ -94,7 +97,7 @@
 				change = removal(key, revision)
 			}
 			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "s")) * time.Second)
-			source.Apply(Changes{Revision: revision, Items: []Item{change}}, now)
+			source.Apply(Changes{Revision: number(revision), Items: []Item{change}}, now)
 			to := rapid.IntRange(0, 1).Draw(t, "to")
 			from := source
 			if rapid.Bool().Draw(t, "peer") {
@@ -103,7 +106,7 @@
 			held, _ := replicas[to].Revision()
 			replicas[to].Apply(from.ChangesAfter(held), now)
 			newRevision, _ := replicas[to].Revision()
-			assert.GreaterOrEqual(t, newRevision, held)
+			assert.False(t, held.After(newRevision))
 		}
 		for _, r := range replicas {
 			held, _ := r.Revision()
@@ -142,7 +145,7 @@
 	return c, err
 }
 
-func (f *fakeSource) Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error) {
+func (f *fakeSource) Watch(ctx context.Context, after Revision, wait time.Duration) (Changes, error) {
 	f.mu.Lock()
 	wasCompacted := f.compacted
 	f.compacted = false
@@ -152,7 +155,7 @@
 	}
 	end := time.Now().Add(wait)
 	for time.Now().Before(end) && ctx.Err() == nil {
-		if c, err := f.call(ctx); err != nil || c.Revision > after {
+		if c, err := f.call(ctx); err != nil || c.Revision.After(after) {
 			return c, err
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -163,7 +166,7 @@
 func (f *fakeSource) publish(revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.changes = Changes{Revision: revision, Items: []Item{item("a", revision)}}
+	f.changes = Changes{Revision: number(revision), Items: []Item{item("a", revision)}}
 }
 
 func (f *fakeSource) set(change func(f *fakeSource)) {
@@ -178,7 +181,7 @@
 func (f fakeFleet) IsPlatformReader() bool     { return f.reads }
 func (f fakeFleet) SetPlatformUnreadable(bool) {}
 func (f fakeFleet) AnnounceRevision()          {}
-func (f fakeFleet) PullChanges(context.Context, int64) (Changes, error) {
+func (f fakeFleet) PullChanges(context.Context, Revision) (Changes, error) {
 	return Changes{}, errors.NotFoundf("VM")
 }
 
