Bound the memory of all replies of a VM together

Each reply was bounded by 4 MB, but not their sum: the parts of one query to 63 shards could take 252 MB of a VM's 184, and the VM would be killed with all of its requests.

Now the bodies that a VM holds, from the first byte read until the answer is written to its caller, are counted in driftexchange.Memory.

Also tested now: chunked bodies that are cut off in and between chunks, and a body without length whose connection is reset, are no complete replies (they were not before either).

--- a/internal/driftexchange/conn.go
+++ b/internal/driftexchange/conn.go
@@ -47,6 +47,7 @@
 	limit   *limitedConn
 	reader  *bufio.Reader
 	headers Headers
+	memory  *Memory
 	closed  chan struct{}
 
 	mu           sync.Mutex
@@ -89,8 +90,17 @@
 	return dialer.DialContext(ctx, "tcp4", address)
 }
 
+// Option configures a Conn.
+type Option func(*Conn)
+
+// WithMemory bounds the bodies of replies. Whoever gets a Done releases the bytes
+// of its body once they are no longer used.
+func WithMemory(m *Memory) Option {
+	return func(c *Conn) { c.memory = m }
+}
+
 // Dial opens a connection to the upstream at the address.
-func Dial(ctx context.Context, dial Dialer, address string, h Headers) (c *Conn, err error) {
+func Dial(ctx context.Context, dial Dialer, address string, h Headers, opts ...Option) (c *Conn, err error) {
 	defer errors.DeferredAnnotatef(&err, "connect to upstream at %s", address)
 	conn, err := dial(ctx, address)
 	if err != nil {
@@ -101,6 +111,9 @@
 		net: conn, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize), headers: h,
 		closed: make(chan struct{}), idleDeadline: time.Now().Add(defaultIdleTimeout), lastUsed: time.Now(),
 	}
+	for _, opt := range opts {
+		opt(c)
+	}
 	go c.readLoop()
 	return c, nil
 }
@@ -229,6 +242,7 @@
 			return err
 		}
 		if id := reply.Header.Get(c.headers.Request); id != "" && id != p.id {
+			c.memory.Release(len(reply.Body))
 			if skipped++; skipped > maxSkippedReplies || !keep {
 				return errors.Annotatef(ErrClosed, "reply to request %q", id)
 			}
@@ -259,11 +273,13 @@
 		return Reply{Status: response.StatusCode}, false, nil
 	}
 	c.limit.left = maxReplyBody + maxFraming
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBody+1))
+	reader := &bodyReader{body: io.LimitReader(response.Body, maxReplyBody+1), memory: c.memory}
+	body, err := io.ReadAll(reader)
 	if err == nil && len(body) > maxReplyBody {
 		err = ErrTooLong
 	}
 	if err != nil {
+		c.memory.Release(reader.held)
 		// Closing the body would read the rest of it.
 		c.Close()
 		return reply, false, err
@@ -283,8 +299,13 @@
 	keep = keep && p.written && c.reader.Buffered() == 0 && !c.broken
 	c.broken = c.broken || !keep
 	c.mu.Unlock()
-	if taken := c.takePending(); taken != nil {
-		taken.deliver(classifyReply(reply, c.headers))
+	result := classifyReply(reply, c.headers)
+	taken := c.takePending()
+	if _, done := result.(Done); !done || taken == nil {
+		c.memory.Release(len(reply.Body))
+	}
+	if taken != nil {
+		taken.deliver(result)
 	}
 	return keep
 }
--- a/internal/driftexchange/exchange.go
+++ b/internal/driftexchange/exchange.go
@@ -110,6 +110,7 @@
 	ErrNoSignature = errors.ConstError("reply without signature")
 	ErrRefused     = errors.ConstError("refused by the upstream")
 	ErrTooLong     = errors.ConstError("reply too large")
+	ErrMemory      = errors.ConstError("memory for replies used up")
 )
 
 // classifyReply returns the result that a reply means for its request.
--- a/internal/driftexchange/exchange_test.go
+++ b/internal/driftexchange/exchange_test.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -64,6 +66,8 @@
 		{"only a reply to another request", staleReply, true, Unknown{}, false},
 		{"second reply", validReply + staleReply, false, Done{}, false},
 		{"truncated", validReply[:len(validReply)-1], true, Unknown{}, false},
+		{"chunked, cut off in a chunk", "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Proof: p\r\nTransfer-Encoding: chunked\r\n\r\n2\r\no", true, Unknown{}, false},
+		{"chunked, cut off between chunks", "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Proof: p\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", true, Unknown{}, false},
 		{"no reply", "", true, Unknown{}, false},
 		{"no reply in time", "", false, Unknown{}, false},
 		{"malformed reply", "garbage\r\n\r\n", false, Unknown{}, false},
@@ -144,6 +148,39 @@
 	assert.Equal(t, "250", request.Header.Get("X-Left"))
 }
 
+// resetConn fails with a reset where the peer has closed the connection.
+type resetConn struct{ net.Conn }
+
+// Read implements net.Conn.
+func (c resetConn) Read(buffer []byte) (n int, err error) {
+	n, err = c.Conn.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
+// TestResetBodyWithoutLength guards against taking a body that ends with its
+// connection for complete if that was reset.
+func TestResetBodyWithoutLength(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		dial := func(context.Context, string) (net.Conn, error) { return resetConn{near}, nil }
+		conn, err := Dial(t.Context(), dial, "a", testHeaders)
+		require.NoError(t, err)
+		go func() {
+			_, _ = http.ReadRequest(bufio.NewReader(far))
+			_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Proof: p\r\n\r\nok")
+			_ = far.Close()
+		}()
+		results := make(chan Result, 1)
+		conn.Send(&Request{ID: "a", Method: http.MethodGet, Target: "/x", Host: "h"}, "i-1",
+			time.Now().Add(time.Second), func(r Result) { results <- r })
+		assert.IsType(t, Unknown{}, <-results)
+		<-conn.Closed()
+	})
+}
+
 func TestParseLoad(t *testing.T) {
 	load, ok := ParseLoad("3, 0,8")
 	assert.True(t, ok)
--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -86,7 +86,7 @@
 // passThrough returns the reply of an upstream unchanged.
 func (s *scatter) passThrough(reply driftexchange.Reply, cause Cause) Answer {
 	reply.Header.Del(ForwardHeader)
-	return Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body, Cause: cause}
+	return Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body, Cause: cause, heldBytes: len(reply.Body)}
 }
 
 // mergeParts returns the answer merged from the parts received so far.
@@ -151,6 +151,7 @@
 // it.
 func (s *scatter) recordAnswer(a Answer) Answer {
 	q := s.query
+	s.relay.releaseReplies(q, a)
 	s.relay.metrics.observeAnswer(q.Route.Name, a.Cause, time.Since(q.Arrived))
 	code := driftevent.RequestServed
 	if a.Cause != CauseServed {
--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -371,7 +371,7 @@
 	if e.Service == forwardService {
 		headers = forwardHeaders(headers)
 	}
-	c, err := driftexchange.Dial(bounded, r.dialer, e.Address, headers)
+	c, err := driftexchange.Dial(bounded, r.dialer, e.Address, headers, driftexchange.WithMemory(r.memory))
 	if err != nil {
 		r.mu.Lock()
 		e.openConns--
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -42,6 +42,7 @@
 	ledger        *driftshare.Ledger
 	metrics       *Metrics
 	dialer        driftexchange.Dialer
+	memory        *driftexchange.Memory
 
 	mu        sync.Mutex
 	table     *driftroute.Table
@@ -89,6 +90,12 @@
 	return func(r *Relay) { r.dialer = dialer }
 }
 
+// WithMemory bounds the bytes of the replies that the relay holds. By default
+// there is no bound.
+func WithMemory(m *driftexchange.Memory) Option {
+	return func(r *Relay) { r.memory = m }
+}
+
 // WithSuspectReport sets the function that reports to other VMs that an
 // upstream does not answer, and for how long it is to be suspected.
 func WithSuspectReport(report func(upstream string, duration time.Duration)) Option {
@@ -140,6 +147,8 @@
 	Cause Cause
 	// RetryAfter is when the caller may try again, 0 if unspecified.
 	RetryAfter time.Duration
+	// heldBytes are those of Body that Release gives back.
+	heldBytes int
 }
 
 // Cause is the reason for an answer, in one word.
@@ -198,6 +207,10 @@
 	Arrived time.Time
 	// Deadline is when the caller must have its answer.
 	Deadline time.Time
+	// heldBytes are those of the replies that are kept for the answer, and answered
+	// is set once none are. The relay's lock protects both.
+	heldBytes int
+	answered  bool
 }
 
 // partialAnswerAt returns when the query is answered with the parts received so
@@ -254,6 +267,32 @@
 	return newScatter(r, q).run(ctx)
 }
 
+// Release gives back the memory of an answer that was written to its caller. It is
+// called once for each answer.
+func (r *Relay) Release(a Answer) {
+	r.memory.Release(a.heldBytes)
+}
+
+// holdReply keeps the body of a reply in memory until the query is answered. The
+// caller holds the lock.
+func (r *Relay) holdReply(q *Query, f *attempt, reply driftexchange.Reply) {
+	if f.abandoned || q.answered {
+		r.memory.Release(len(reply.Body))
+		return
+	}
+	q.heldBytes += len(reply.Body)
+}
+
+// releaseReplies gives back the memory of all replies to the query but those of
+// its answer.
+func (r *Relay) releaseReplies(q *Query, a Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q.answered = true
+	r.memory.Release(q.heldBytes - a.heldBytes)
+	q.heldBytes = 0
+}
+
 // noRoute answers a request that no route matches. If the view is stale, the
 // route may be missing from it, so the caller is asked to try again.
 func (r *Relay) noRoute(request *driftexchange.Request, path string, version int64) Answer {
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -87,6 +87,7 @@
 	e.removeAttempt(f)
 	switch result := result.(type) {
 	case driftexchange.Done:
+		r.holdReply(q, f, result.Reply)
 		e.markReachable()
 		failed := result.Reply.Status >= minFailureStatus
 		e.recordOutcome(now, failed, false)
--- a/internal/driftrelay/simulation_test.go
+++ b/internal/driftrelay/simulation_test.go
@@ -37,6 +37,8 @@
 	unreachable bool
 	// handshake is how much longer the first request of a connection takes.
 	handshake time.Duration
+	// bodySize is the size of a reply's body.
+	bodySize int
 	// namedLimit is the rate limit that replies name between limitFrom and
 	// limitUntil.
 	namedLimit            float64
@@ -85,7 +87,7 @@
 			address := fmt.Sprintf("10.%d.0.%d:80", domain, shard)
 			s := &fakeUpstream{
 				name: fmt.Sprintf("%s-%d", service, domain), serviceTime: work, slowdown: 0.8 + 0.5*seed.Float64(),
-				slots: make(chan struct{}, slots), runs: make(map[string]int),
+				slots: make(chan struct{}, slots), bodySize: recordSize, runs: make(map[string]int),
 				pauseOffset: time.Duration(seed.Int64N(int64(5 * time.Second))),
 				rng:         rand.New(rand.NewPCG(testSeed, uint64(shard*testDomains+domain))),
 			}
@@ -210,7 +212,7 @@
 	if lost {
 		return false
 	}
-	ok := writeReply(conn, "200 OK", testHeaders.Signature+": "+s.name+"."+id+"\r\n"+s.limitHeader(), id, strings.Repeat("r", recordSize))
+	ok := writeReply(conn, "200 OK", testHeaders.Signature+": "+s.name+"."+id+"\r\n"+s.limitHeader(), id, strings.Repeat("r", s.bodySize))
 	if !ok {
 		s.mu.Lock()
 		s.failedWrites++
