Spend the retry budget only on hedges that an upstream has room for

Callers got parts late or none, with "no budget for another" in the line of the request, though few extra attempts had been sent: a hedge took its share of the budget first, and then found no upstream with room, connection or rate for it.

Now a hedge looks for an upstream first, and tries again after its delay if there is none.

--- a/internal/driftrelay/relay_test.go
+++ b/internal/driftrelay/relay_test.go
@@ -234,6 +234,35 @@
 	return ledger
 }
 
+// TestHedgesSpentBudgetUnsent guards against spending the retry budget on hedges
+// that no upstream has room for: the only upstream without a limit is slow, and the
+// others accept nothing.
+func TestHedgesSpentBudgetUnsent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newSimulation(1, 4, rushServiceTime, rush())
+		w.forEachUpstream(func(i int, s *fakeUpstream) {
+			s.slowdown = 4
+			if i > 0 {
+				s.limitUntil = time.Now().Add(time.Hour)
+			}
+		})
+		r := w.relay(WithLedger(settledLedger()))
+		for _, u := range w.view.Upstreams[1:] {
+			e := r.upstreams[u.ID]
+			r.recordRateLimit(&attempt{upstream: e}, http.Header{testHeaders.RateLimit: {"0"}}, time.Now())
+		}
+		const queries = 40
+		_ = runLoad(r, rush(), queries, 20*time.Millisecond)
+		arrived := 0
+		w.forEachUpstream(func(_ int, s *fakeUpstream) { arrived += s.arrived })
+		r.mu.Lock()
+		spent := r.budget("shard-0").spent(time.Now(), r.rule)
+		r.mu.Unlock()
+		assert.LessOrEqual(t, int(spent), arrived-queries)
+		closeAll(r)
+	})
+}
+
 // TestFirstQueries sends ten queries to 42 shards at the start of a VM, when every
 // connection is new and takes 30 ms to answer, as on a standard day of the large
 // deployment. The published ratio of the retry budget allows 0.2 extra attempts
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -167,10 +167,7 @@
 	r := s.relay
 	r.mu.Lock()
 	typical := r.typicalTime(s.query.Route)
-	best, ok := r.chooseUpstream(s.query.Table, l.service, l.tried, requirements{
-		typicalTime: typical, latencyObjective: s.query.Route.LatencyObjective,
-		lastAttempt: !s.query.Route.Idempotent || l.sent+len(l.inFlight)+1 >= s.query.Route.MaxAttempts,
-	}, now)
+	best, ok := s.chooseNext(l, typical, now)
 	if !ok {
 		hasCandidates := r.anyUsable(l.service, l.tried, now)
 		next, limited := r.rateLimitsEndAt(l.service, l.tried, now)
@@ -205,6 +202,23 @@
 	return true
 }
 
+// chooseNext returns the best upstream that has not been tried and has room. The
+// caller holds the relay's lock.
+func (s *scatter) chooseNext(l *shardRequest, typical time.Duration, now time.Time) (placement, bool) {
+	return s.relay.chooseUpstream(s.query.Table, l.service, l.tried, requirements{
+		typicalTime: typical, latencyObjective: s.query.Route.LatencyObjective,
+		lastAttempt: !s.query.Route.Idempotent || l.sent+len(l.inFlight)+1 >= s.query.Route.MaxAttempts,
+	}, now)
+}
+
+// hasRoom reports whether an upstream that has not been tried has room.
+func (s *scatter) hasRoom(l *shardRequest, now time.Time) bool {
+	s.relay.mu.Lock()
+	defer s.relay.mu.Unlock()
+	_, ok := s.chooseNext(l, s.relay.typicalTime(s.query.Route), now)
+	return ok
+}
+
 // anyUsable reports whether an untried upstream of the service may get requests
 // once it has capacity. The caller holds the lock.
 func (r *Relay) anyUsable(service string, tried []*upstreamState, now time.Time) bool {
@@ -354,8 +368,9 @@
 	return l.part == nil && !l.exhausted && len(l.inFlight) == 1 && !l.hedgeAt.IsZero() && !now.Before(l.hedgeAt)
 }
 
-// hedge sends a second attempt beside one that is late. A first attempt whose
-// connection is not open yet is abandoned instead.
+// hedge sends a second attempt beside one that is late, or tries again later if no
+// upstream has room. A first attempt whose connection is not open yet is abandoned
+// instead.
 func (s *scatter) hedge(l *shardRequest, now time.Time) {
 	l.hedgeAt = time.Time{}
 	r := s.relay
@@ -376,7 +391,11 @@
 		s.retry(l, now)
 		return
 	}
-	if s.query.Route.Idempotent && s.mayRetry(l) && s.spendBudget(l, now, false) && s.sendToNext(l, now) {
+	switch {
+	case !s.query.Route.Idempotent || !s.mayRetry(l):
+	case !s.hasRoom(l, now):
+		l.hedgeAt = now.Add(l.hedgeDelay)
+	case s.spendBudget(l, now, false) && s.sendToNext(l, now):
 		l.hedgeAt = time.Time{}
 	}
 }
