Serve requests that were read just as the server stops

Callers on a kept connection could see it closed without an answer though the VM had read their request: the standard server counts a connection as idle until the request is parsed, and Shutdown closes idle connections. On a VM whose process is not scheduled for a moment, that window is as long as the moment.

Now driftlisten ends idle connections by a deadline for their next read, unless a part of a request was read, and waits for the others; listeners close first.

--- /dev/null
+++ b/internal/driftlisten/server.go
@@ -0,0 +1,164 @@
+// Package driftlisten runs HTTP/1 servers that stop without cutting off a request.
+//
+// The standard server counts a connection as idle until the request on it is
+// parsed, so that its Shutdown may close a connection from which a request has
+// just been read. A Server ends idle connections by a deadline for their next
+// read instead: a request that was read before is served.
+//
+// # Usage
+//
+//	server := driftlisten.New(&http.Server{Handler: handler})
+//	go server.Serve(listener)
+//	err := server.Drain(ctx)
+package driftlisten
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// drainPeriod is the time between two looks for idle connections while the
+	// server drains.
+	drainPeriod = 5 * time.Millisecond
+	// firstRequestTime is how long a new connection may take to send its first
+	// request while the server drains.
+	firstRequestTime = time.Second
+)
+
+// Server is an HTTP server that drains. Its methods are safe for concurrent use.
+type Server struct {
+	http *http.Server
+
+	mu        sync.Mutex
+	listeners []net.Listener
+	conns     map[*conn]http.ConnState
+}
+
+// New returns a Server that runs the given one, whose ConnState must not be set and
+// which must not serve HTTP/2, where connections end by a message.
+func New(server *http.Server) *Server {
+	s := &Server{http: server, conns: make(map[*conn]http.ConnState)}
+	server.ConnState = s.track
+	return s
+}
+
+// Serve accepts connections until Drain or Close. It returns the error of the
+// listener.
+func (s *Server) Serve(listener net.Listener) error {
+	s.mu.Lock()
+	s.listeners = append(s.listeners, listener)
+	s.mu.Unlock()
+	return s.http.Serve(connListener{listener})
+}
+
+// Drain stops accepting connections, and returns once all connections have ended:
+// idle ones at once, others after their request. It returns the context's error
+// if that ends first; the connections left are then still open.
+func (s *Server) Drain(ctx context.Context) (err error) {
+	defer errors.DeferredAnnotatef(&err, "draining connections")
+	s.mu.Lock()
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
+	s.mu.Unlock()
+	ticker := time.NewTicker(drainPeriod)
+	defer ticker.Stop()
+	for s.endIdle(time.Now()) > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return s.http.Shutdown(ctx)
+}
+
+// Close closes all listeners and connections.
+func (s *Server) Close() error { return s.http.Close() }
+
+// track records the state of a connection. It implements http.Server.ConnState.
+func (s *Server) track(connection net.Conn, state http.ConnState) {
+	c, ok := connection.(*conn)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateClosed, http.StateHijacked:
+		delete(s.conns, c)
+	case http.StateIdle:
+		c.expectRequest()
+		s.conns[c] = state
+	default:
+		s.conns[c] = state
+	}
+}
+
+// endIdle ends the connections that wait for a request, and returns how many
+// connections are open.
+func (s *Server) endIdle(now time.Time) (open int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, state := range s.conns {
+		if state == http.StateIdle || (state == http.StateNew && now.Sub(c.opened) > firstRequestTime) {
+			c.endIfUnread(now)
+		}
+	}
+	return len(s.conns)
+}
+
+// connListener wraps the connections of a listener.
+type connListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l connListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: connection, opened: time.Now()}, nil
+}
+
+// conn is a connection that knows whether anything of the next request was read.
+type conn struct {
+	net.Conn
+	opened time.Time
+
+	mu      sync.Mutex
+	started bool
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(buffer []byte) (n int, err error) {
+	n, err = c.Conn.Read(buffer)
+	if n > 0 {
+		c.mu.Lock()
+		c.started = true
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// expectRequest records that nothing of the next request was read.
+func (c *conn) expectRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.started = false
+}
+
+// endIfUnread makes the next read fail, unless a part of a request was read. The
+// server sets a deadline of its own after each read that returns.
+func (c *conn) endIfUnread(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.started {
+		_ = c.SetReadDeadline(now)
+	}
+}
--- /dev/null
+++ b/internal/driftlisten/server_test.go
@@ -0,0 +1,137 @@
+package driftlisten
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// slowReads is a listener whose connections return what they have read only after
+// a delay, as on a VM whose process is not scheduled. It signals each read.
+type slowReads struct {
+	net.Listener
+	delay *atomic.Int64
+	read  chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l slowReads) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	return slowConn{Conn: connection, from: l}, err
+}
+
+type slowConn struct {
+	net.Conn
+	from slowReads
+}
+
+// Read implements net.Conn.
+func (c slowConn) Read(buffer []byte) (n int, err error) {
+	n, err = c.Conn.Read(buffer)
+	if delay := time.Duration(c.from.delay.Load()); n > 0 && delay > 0 {
+		select {
+		case c.from.read <- struct{}{}:
+		default:
+		}
+		time.Sleep(delay)
+	}
+	return n, err
+}
+
+// TestStopCutOffRequestJustRead guards against closing a connection from which a
+// request was just read when the server stops.
+func TestStopCutOffRequestJustRead(t *testing.T) {
+	const readDelay = 50 * time.Millisecond
+	// answered reports whether a request that is read as the server stops is answered.
+	answered := func(t *testing.T, serve func(net.Listener) (stop func(context.Context) error)) bool {
+		t.Helper()
+		inner, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		listener := slowReads{Listener: inner, delay: new(atomic.Int64), read: make(chan struct{}, 1)}
+		stop := serve(listener)
+		client := &http.Client{Transport: &http.Transport{}}
+		send := func() (*http.Response, error) {
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+inner.Addr().String(), http.NoBody)
+			if err != nil {
+				return nil, err
+			}
+			return client.Do(request)
+		}
+		first, err := send()
+		require.NoError(t, err)
+		_, _ = io.Copy(io.Discard, first.Body)
+		_ = first.Body.Close()
+		time.Sleep(readDelay)
+		listener.delay.Store(int64(readDelay))
+		results := make(chan bool, 1)
+		go func() {
+			response, err := send()
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			results <- err == nil
+		}()
+		<-listener.read
+		assert.NoError(t, stop(t.Context()))
+		return <-results
+	}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	t.Run("drained", func(t *testing.T) {
+		assert.True(t, answered(t, func(l net.Listener) func(context.Context) error {
+			server := New(&http.Server{Handler: handler, ReadHeaderTimeout: time.Second})
+			go func() { _ = server.Serve(l) }()
+			return server.Drain
+		}))
+	})
+	t.Run("the standard server alone", func(t *testing.T) {
+		assert.False(t, answered(t, func(l net.Listener) func(context.Context) error {
+			server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+			go func() { _ = server.Serve(l) }()
+			return server.Shutdown
+		}), "the test must notice")
+	})
+}
+
+func TestDrain(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	server := New(&http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(arrived)
+		<-release
+	})})
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(listener) }()
+	results := make(chan error, 1)
+	go func() {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+listener.Addr().String(), http.NoBody)
+		if err != nil {
+			results <- err
+			return
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		results <- err
+	}()
+	<-arrived
+	t.Run("a request in flight is waited for", func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		require.ErrorIs(t, server.Drain(ctx), context.DeadlineExceeded)
+	})
+	t.Run("new connections are refused", func(t *testing.T) {
+		_, err := (&net.Dialer{}).DialContext(t.Context(), "tcp4", listener.Addr().String())
+		require.Error(t, err)
+	})
+	close(release)
+	require.NoError(t, <-results)
+	assert.NoError(t, server.Drain(t.Context()))
+}
