Look up no names that datagrams give as addresses

A datagram from the network could make a VM ask a resolver, and send to what it answered, by giving a name where an address belongs; an empty address was taken for this host. Found while writing a fuzz target for datagrams. Addresses of members are now parsed as IP address and port wherever they are used.

--- a/internal/driftgossip/call.go
+++ b/internal/driftgossip/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
@@ -57,11 +58,11 @@
 // from; only its IP address is used.
 func (t *TwirpClient) Changes(ctx context.Context, address string, after driftstate.Revision) (c driftstate.Changes, err error) {
 	defer errors.DeferredAnnotatef(&err, "VM at %s", address)
-	host, _, err := net.SplitHostPort(address)
+	parsed, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return c, err
 	}
-	base := "http://" + net.JoinHostPort(host, t.port)
+	base := "http://" + net.JoinHostPort(parsed.Addr().String(), t.port)
 	client := driftgossippb.NewGossipProtobufClient(base, t.client)
 	asked := time.Now()
 	reply, err := client.Changes(ctx, &driftgossippb.ChangesRequest{After: after.Number, Era: after.Era})
--- a/internal/driftgossip/send.go
+++ b/internal/driftgossip/send.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -128,8 +129,9 @@
 		return
 	}
 	for _, target := range targets {
-		if address, err := net.ResolveUDPAddr("udp4", target); err == nil {
-			_, _ = f.socket.WriteTo(data, address)
+		// Addresses come from datagrams, and must not cause a name lookup.
+		if address, err := netip.ParseAddrPort(target); err == nil {
+			_, _ = f.socket.WriteTo(data, net.UDPAddrFromAddrPort(address))
 		}
 	}
 }
