Tidy what a reader of the named limits would stop at

drift_rate_limits is counted on each tick, so that an upstream that is removed with a limit does not stay in it; the other entry VMs are computed when the fleet changes, not for each candidate; trials of VMs without a part are spread over the fleet (2 to 4 s for each entry VM), since 60 VMs at one each 15 to 30 s pass a limit of 1 a second; Retry-After of a limit is at most 1 s, as another VM may have room before. Connections of driftlisten keep CloseWrite, which the standard server uses before it closes one with unread bytes.

--- a/internal/driftlisten/server.go
+++ b/internal/driftlisten/server.go
@@ -146,6 +146,15 @@
 	return n, err
 }
 
+// CloseWrite closes the sending side, as the server does before it closes a
+// connection from which it has not read all.
+func (c *conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
 // expectRequest records that nothing of the next request was read.
 func (c *conn) expectRequest() {
 	c.mu.Lock()
--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -56,7 +56,8 @@
 		mayHaveRun = mayHaveRun || l.mayHaveRun
 	}
 	s.relay.checker.NoAttemptRan(s.query.Request.ID, mayHaveRun && !s.query.Route.Idempotent)
-	return refuse(cause, max(retrySoon, s.retryAfter))
+	// Another VM may have room before this one.
+	return refuse(cause, max(retrySoon, min(s.retryAfter, retryOverload)))
 }
 
 func (s *scatter) tryAnswerGather(now, partialAt time.Time) (Answer, bool) {
--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -149,8 +149,11 @@
 	r.mu.Lock()
 	r.sendRate.update(now)
 	var closing []*driftexchange.Conn
-	before := len(r.upstreams)
+	before, limits := len(r.upstreams), 0
 	for id, e := range r.upstreams {
+		if e.rateLimit.named {
+			limits++
+		}
 		removed := !e.removedAt.IsZero() && now.Sub(e.removedAt) > removedGrace
 		closing = append(closing, e.removeExpiredConns(now, removed)...)
 		if removed && len(e.inFlight) == 0 {
@@ -163,6 +166,7 @@
 	if len(r.upstreams) < before {
 		r.rebuildIndex()
 	}
+	r.metrics.setRateLimits(limits)
 	r.mu.Unlock()
 	for _, c := range closing {
 		c.Close()
@@ -203,6 +207,12 @@
 	r.generation++
 	r.self.Entry = entry
 	r.others = others
+	r.otherEntries = nil
+	for _, vm := range others {
+		if vm.Entry {
+			r.otherEntries = append(r.otherEntries, vm)
+		}
+	}
 	closing := r.updatePeers(others)
 	r.mu.Unlock()
 	for _, c := range closing {
--- a/internal/driftrelay/limit.go
+++ b/internal/driftrelay/limit.go
@@ -34,9 +34,10 @@
 	// rateSpan is the span over which a named limit is divided into whole requests,
 	// the shortest in which the published sites count them.
 	rateSpan = 4 * time.Second
-	// trialGap is the shortest time between two trials of a VM; up to as much again
-	// is added at random.
-	trialGap = 15 * time.Second
+	// minTrialGap is the shortest time between two trials of a VM, and trialGapPerVM
+	// that between trials of all entry VMs; up to as much again is added at random.
+	minTrialGap   = 15 * time.Second
+	trialGapPerVM = 2 * time.Second
 )
 
 // RateLimitAllows reports whether a VM may send one more request to an upstream
@@ -45,8 +46,12 @@
 // handles an upstream in need while all VMs go on sending to it: the parts add up
 // to the limit, and no VM uses its part at once.
 func RateLimitAllows(units, sent, sentLastSecond int) bool {
-	perSecond := int(math.Ceil(float64(units) / rateSpan.Seconds()))
-	return sent < units && sentLastSecond < perSecond
+	return sent < units && sentLastSecond < unitsPerSecond(units)
+}
+
+// unitsPerSecond returns how many of the units of rateSpan may be used in one second.
+func unitsPerSecond(units int) int {
+	return int(math.Ceil(float64(units) / rateSpan.Seconds()))
 }
 
 // rateLimitLogGap is the shortest time between two events on the limit of one
@@ -69,8 +74,7 @@
 	l := &e.rateLimit
 	changed := perSecond != l.perSecond
 	if !l.named {
-		*l = rateLimit{named: true, since: now, trialAt: nextTrial(now)}
-		r.metrics.addRateLimits(1)
+		*l = rateLimit{named: true, since: now, trialAt: r.nextTrial(now)}
 		changed = true
 	}
 	l.perSecond, l.namedAt = perSecond, now
@@ -91,31 +95,26 @@
 		return
 	}
 	e.rateLimit = rateLimit{}
-	r.metrics.addRateLimits(-1)
 	r.events.Record(driftevent.RateLimitLifted, "", e.ID,
 		fmt.Sprintf("after %.1f s, sent %d first and %d extra", now.Sub(l.since).Seconds(), l.first, l.extra))
 }
 
-// nextTrial returns when a VM without a part of a limit may try again.
-func nextTrial(now time.Time) time.Time {
-	return now.Add(trialGap + rand.N(trialGap))
+// nextTrial returns when this VM may try again if it has no part of a limit. The
+// caller holds the lock.
+func (r *Relay) nextTrial(now time.Time) time.Time {
+	gap := max(minTrialGap, trialGapPerVM*time.Duration(len(r.otherEntries)))
+	return now.Add(gap + rand.N(gap))
 }
 
 // rateLimitUnits returns how many requests this VM may send within rateSpan to an
 // upstream that names a limit. Only entry VMs have a part of it, if there are
 // any: the others forward their requests to them. The caller holds the lock.
 func (r *Relay) rateLimitUnits(e *upstreamState) int {
-	var entries []VM
-	for _, vm := range r.others {
-		if vm.Entry {
-			entries = append(entries, vm)
-		}
-	}
 	total := int(e.rateLimit.perSecond * rateSpan.Seconds())
 	switch {
 	case r.self.Entry:
-		return r.unitsAmong(entries, e, &e.rateUnits, total)
-	case len(entries) > 0:
+		return r.unitsAmong(r.otherEntries, e, &e.rateUnits, total)
+	case len(r.otherEntries) > 0:
 		return 0
 	default:
 		return r.unitsAmong(r.others, e, &e.rateUnits, total)
@@ -180,7 +179,7 @@
 	if len(l.sent) < units {
 		next = now
 	}
-	perSecond := int(math.Ceil(float64(units) / rateSpan.Seconds()))
+	perSecond := unitsPerSecond(units)
 	if l.sentSince(now.Add(-time.Second)) >= perSecond {
 		if second := l.sent[len(l.sent)-perSecond].Add(time.Second); second.After(next) {
 			next = second
@@ -198,7 +197,7 @@
 	}
 	l.dropOld(now)
 	l.sent = append(l.sent, now)
-	l.trialAt = nextTrial(now)
+	l.trialAt = r.nextTrial(now)
 	r.checker.WithinRateLimit(q.Request.ID, e.ID, len(l.sent), max(1, r.rateLimitUnits(e)))
 	kind := sendFirst
 	if extra {
--- a/internal/driftrelay/metric.go
+++ b/internal/driftrelay/metric.go
@@ -60,9 +60,9 @@
 	}
 }
 
-func (m *Metrics) addRateLimits(change float64) {
+func (m *Metrics) setRateLimits(upstreams int) {
 	if m != nil {
-		m.limits.Add(change)
+		m.limits.Set(float64(upstreams))
 	}
 }
 
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -52,6 +52,8 @@
 	serviceDomains map[string]map[string]bool
 	outSince       map[string]time.Time
 	others         []VM
+	// otherEntries are those of others that are entry VMs.
+	otherEntries []VM
 	// generation counts changes of the VMs and of the upstreams.
 	generation   uint64
 	peers        []*upstreamState
