Drain the servers of the system's own interface in the same way

The listeners of callers, VMs and operators also used the standard server, which may close a connection between reading and parsing a request when it stops. driftlisten now leaves connections of HTTP/2 to their own end and returns http.ErrServerClosed as driftserve expects, so that one server serves both paths (TestDrainHTTP2).

--- a/internal/driftlisten/server.go
+++ b/internal/driftlisten/server.go
@@ -1,9 +1,10 @@
-// Package driftlisten runs HTTP/1 servers that stop without cutting off a request.
+// Package driftlisten runs HTTP servers that stop without cutting off a request.
 //
 // The standard server counts a connection as idle until the request on it is
 // parsed, so that its Shutdown may close a connection from which a request has
 // just been read. A Server ends idle connections by a deadline for their next
-// read instead: a request that was read before is served.
+// read instead: a request that was read before is served. Connections of HTTP/2 end
+// by a message of that protocol, as with the standard server.
 //
 // # Usage
 //
@@ -16,6 +17,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -37,24 +39,30 @@
 
 	mu        sync.Mutex
 	listeners []net.Listener
+	draining  bool
 	conns     map[*conn]http.ConnState
 }
 
-// New returns a Server that runs the given one, whose ConnState must not be set and
-// which must not serve HTTP/2, where connections end by a message.
+// New returns a Server that runs the given one, whose ConnState must not be set.
 func New(server *http.Server) *Server {
 	s := &Server{http: server, conns: make(map[*conn]http.ConnState)}
 	server.ConnState = s.track
 	return s
 }
 
-// Serve accepts connections until Drain or Close. It returns the error of the
-// listener.
+// Serve accepts connections until Drain or Close, after which it returns
+// http.ErrServerClosed.
 func (s *Server) Serve(listener net.Listener) error {
 	s.mu.Lock()
 	s.listeners = append(s.listeners, listener)
 	s.mu.Unlock()
-	return s.http.Serve(connListener{listener})
+	err := s.http.Serve(connListener{listener})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return http.ErrServerClosed
+	}
+	return err
 }
 
 // Drain stops accepting connections, and returns once all connections have ended:
@@ -63,6 +71,7 @@
 func (s *Server) Drain(ctx context.Context) (err error) {
 	defer errors.DeferredAnnotatef(&err, "draining connections")
 	s.mu.Lock()
+	s.draining = true
 	for _, l := range s.listeners {
 		_ = l.Close()
 	}
@@ -101,17 +110,21 @@
 	}
 }
 
-// endIdle ends the connections that wait for a request, and returns how many
-// connections are open.
+// endIdle ends the connections that wait for a request, and returns how many are
+// open, without those of HTTP/2.
 func (s *Server) endIdle(now time.Time) (open int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, state := range s.conns {
+		if c.isHTTP2() {
+			continue
+		}
+		open++
 		if state == http.StateIdle || (state == http.StateNew && now.Sub(c.opened) > firstRequestTime) {
 			c.endIfUnread(now)
 		}
 	}
-	return len(s.conns)
+	return open
 }
 
 // connListener wraps the connections of a listener.
@@ -131,21 +144,36 @@
 	net.Conn
 	opened time.Time
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// started is set once a part of the next request was read.
 	started bool
+	// first is set once anything was read, and http2 if that began like HTTP/2.
+	first, http2 bool
 }
 
+// http2Preface is how each connection of HTTP/2 begins.
+const http2Preface = "PRI * HTTP/2.0"
+
 // Read implements net.Conn.
 func (c *conn) Read(buffer []byte) (n int, err error) {
 	n, err = c.Conn.Read(buffer)
 	if n > 0 {
 		c.mu.Lock()
+		if !c.first {
+			c.first, c.http2 = true, strings.HasPrefix(http2Preface, string(buffer[:min(n, len(http2Preface))]))
+		}
 		c.started = true
 		c.mu.Unlock()
 	}
 	return n, err
 }
 
+func (c *conn) isHTTP2() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.http2
+}
+
 // CloseWrite closes the sending side, as the server does before it closes a
 // connection from which it has not read all.
 func (c *conn) CloseWrite() error {
--- a/internal/driftlisten/server_test.go
+++ b/internal/driftlisten/server_test.go
@@ -99,6 +99,30 @@
 	})
 }
 
+// TestDrainHTTP2 drains a server while a client holds an idle connection of HTTP/2.
+func TestDrainHTTP2(t *testing.T) {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	server := New(&http.Server{ReadHeaderTimeout: time.Second, Protocols: &protocols, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		assert.Equal(t, 2, r.ProtoMajor)
+		w.WriteHeader(http.StatusNoContent)
+	})})
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	client := &http.Client{Transport: &http.Transport{Protocols: &protocols}}
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+listener.Addr().String(), http.NoBody)
+	require.NoError(t, err)
+	response, err := client.Do(request)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, server.Drain(ctx))
+	assert.ErrorIs(t, <-served, http.ErrServerClosed)
+}
+
 func TestDrain(t *testing.T) {
 	arrived, release := make(chan struct{}), make(chan struct{})
 	server := New(&http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
--- a/internal/driftserve/run.go
+++ b/internal/driftserve/run.go
@@ -10,6 +10,7 @@
 	"go.uber.org/fx"
 
 	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftlisten"
 	"github.com/almonddrift/almonddrift/internal/driftnode"
 )
 
@@ -57,11 +58,11 @@
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	server := &http.Server{
+	server := driftlisten.New(&http.Server{
 		Handler: handler, Protocols: &protocols, ReadHeaderTimeout: headerTimeout,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
-	}
+	})
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() {
@@ -71,6 +72,6 @@
 			}()
 			return nil
 		},
-		OnStop: server.Shutdown,
+		OnStop: server.Drain,
 	})
 }
