Close the listeners of a draining server once

A stop could fail with "use of closed network connection": Drain closes the listeners, and the standard server closes them again if its Accept has not returned by then. TestDrainFailedOnClosedListener, whose Accept returns late, failed before.

--- a/internal/driftlisten/server.go
+++ b/internal/driftlisten/server.go
@@ -38,7 +38,7 @@
 	http *http.Server
 
 	mu        sync.Mutex
-	listeners []net.Listener
+	listeners []*connListener
 	draining  bool
 	conns     map[*conn]http.ConnState
 }
@@ -53,10 +53,11 @@
 // Serve accepts connections until Drain or Close, after which it returns
 // http.ErrServerClosed.
 func (s *Server) Serve(listener net.Listener) error {
+	wrapped := &connListener{Listener: listener}
 	s.mu.Lock()
-	s.listeners = append(s.listeners, listener)
+	s.listeners = append(s.listeners, wrapped)
 	s.mu.Unlock()
-	err := s.http.Serve(connListener{listener})
+	err := s.http.Serve(wrapped)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining {
@@ -127,11 +128,22 @@
 	return open
 }
 
-// connListener wraps the connections of a listener.
-type connListener struct{ net.Listener }
+// connListener wraps the connections of a listener. It can be closed twice: by
+// Drain, and by the standard server.
+type connListener struct {
+	net.Listener
+	once sync.Once
+	err  error
+}
+
+// Close implements net.Listener.
+func (l *connListener) Close() error {
+	l.once.Do(func() { l.err = l.Listener.Close() })
+	return l.err
+}
 
 // Accept implements net.Listener.
-func (l connListener) Accept() (net.Conn, error) {
+func (l *connListener) Accept() (net.Conn, error) {
 	connection, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
--- a/internal/driftlisten/server_test.go
+++ b/internal/driftlisten/server_test.go
@@ -99,6 +99,31 @@
 	})
 }
 
+// slowClose is a listener whose Accept returns late after it was closed.
+type slowClose struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l slowClose) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		time.Sleep(50 * time.Millisecond)
+	}
+	return connection, err
+}
+
+// TestDrainFailedOnClosedListener guards against reporting a listener that was closed
+// already while the server has not noticed it yet.
+func TestDrainFailedOnClosedListener(t *testing.T) {
+	server := New(&http.Server{ReadHeaderTimeout: time.Second})
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(slowClose{listener}) }()
+	time.Sleep(20 * time.Millisecond)
+	require.NoError(t, server.Drain(t.Context()))
+	assert.ErrorIs(t, <-served, http.ErrServerClosed)
+}
+
 // TestDrainHTTP2 drains a server while a client holds an idle connection of HTTP/2.
 func TestDrainHTTP2(t *testing.T) {
 	var protocols http.Protocols
