Lift a named limit by a valid reply only

A failure of an upstream in need may lack Server-Limit. It lifted the limit, and the next reply named it again with none of the requests of the last 4 s counted, so that an upstream that also fails could get its limit several times over. TestLimitLiftedByFailure failed before.

Also: a replica looks for items of an earlier era only while it may hold some, not over all items four times a second.

--- a/internal/driftrelay/limit.go
+++ b/internal/driftrelay/limit.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// recordNoRateLimit lifts the limit if a reply names none, unless the attempt
+// recordNoRateLimit lifts the limit if a valid reply names none, unless the attempt
 // began before the limit was last named: replies may arrive out of order. The
 // caller holds the lock.
 func (r *Relay) recordNoRateLimit(f *attempt, header http.Header, now time.Time) {
--- a/internal/driftrelay/limit_test.go
+++ b/internal/driftrelay/limit_test.go
@@ -175,6 +175,25 @@
 	}
 }
 
+// TestLimitLiftedByFailure guards against lifting a limit by failures, which may not
+// name it, and so counting its requests anew.
+func TestLimitLiftedByFailure(t *testing.T) {
+	w := newSimulation(1, 1, time.Millisecond, rush())
+	r := w.relay()
+	e := r.services["shard-0"][0]
+	q := &Query{Request: &driftexchange.Request{ID: "q"}, Table: w.view.Table, Route: &w.view.Table.Config.Routes[0], Deadline: time.Now().Add(time.Second)}
+	finish := func(status int, header http.Header) {
+		f := &attempt{upstream: e, started: time.Now()}
+		r.finishAttempt(f, q, driftexchange.Done{Reply: driftexchange.Reply{Status: status, Header: header}}, func(*attempt, driftexchange.Result) {})
+	}
+	finish(http.StatusOK, http.Header{testHeaders.RateLimit: {"9.5"}})
+	assert.True(t, e.rateLimit.named)
+	finish(http.StatusInternalServerError, http.Header{})
+	assert.True(t, e.rateLimit.named)
+	finish(http.StatusOK, http.Header{})
+	assert.False(t, e.rateLimit.named)
+}
+
 // TestLimitedServiceRefusedLate guards against holding requests that the rate
 // limits of all upstreams leave no room for until their deadline.
 func TestLimitedServiceRefusedLate(t *testing.T) {
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -96,7 +96,9 @@
 		}
 		r.recordLoad(e, result.Reply.Header.Get(r.headers.Load), now)
 		r.recordRateLimit(f, result.Reply.Header, now)
-		r.recordNoRateLimit(f, result.Reply.Header, now)
+		if !failed {
+			r.recordNoRateLimit(f, result.Reply.Header, now)
+		}
 	case driftexchange.NotRun:
 		r.recordNotRun(f, result, now)
 		r.recordRateLimit(f, result.Header, now)
--- a/internal/driftstate/replica.go
+++ b/internal/driftstate/replica.go
@@ -64,6 +64,8 @@
 	confirmed time.Time
 	// eraSince is when the replica took the first list of the era.
 	eraSince time.Time
+	// earlierEra is set while the replica may hold items of an earlier era.
+	earlierEra bool
 	// compactedRevision is the revision up to which removals are unknown: their
 	// tombstones were dropped, or a full list came without them.
 	compactedRevision Revision
@@ -111,11 +113,12 @@
 		return false
 	}
 	if newEra {
-		r.eraSince = now
+		r.eraSince, r.earlierEra = now, true
 	}
 	changed := false
 	for _, item := range c.Items {
 		changed = r.applyItem(item, now) || changed
+		r.earlierEra = r.earlierEra || item.Revision.Era < c.Revision.Era
 	}
 	if c.Full && !r.revision.After(c.Revision) {
 		changed = r.removeMissing(c, now) || changed
@@ -142,9 +145,10 @@
 func (r *Replica) Tick(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.keepsEarlierEra(now) {
+	if !r.earlierEra || r.keepsEarlierEra(now) {
 		return
 	}
+	r.earlierEra = false
 	changed := false
 	for key, held := range r.items {
 		if !held.Removed && held.Revision.Era < r.revision.Era {
