Name the least coverage of a demo's class without the platform's word; tell two events apart

minCoverage is a field of the platform; the demo's JSON says least. PlatformRestored was the event that the platform can be read again, which a reader now takes for the one that it was restored from a copy (PlatformReverted): it is PlatformRecovered, beside ConfigRecovered.

--- a/internal/driftdemo/audit.go
+++ b/internal/driftdemo/audit.go
@@ -42,13 +42,13 @@
 
 // tally sums up the outcomes that callers got for one class.
 type tally struct {
-	class       string
-	queries     int
-	refused     int
-	coverageSum float64
-	minCoverage float64
-	latencies   *hdrhistogram.Histogram
-	requests    []string
+	class         string
+	queries       int
+	refused       int
+	coverageSum   float64
+	leastCoverage float64
+	latencies     *hdrhistogram.Histogram
+	requests      []string
 	// refusalReasons holds one reason for each refusal.
 	refusalReasons []string
 }
@@ -63,7 +63,7 @@
 	}
 	for _, w := range workloads {
 		a.tallies = append(a.tallies, &tally{
-			class: w.class, minCoverage: 1, latencies: hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
+			class: w.class, leastCoverage: 1, latencies: hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
 		})
 	}
 	return a
@@ -100,7 +100,7 @@
 	t.requests = append(t.requests, q.Request)
 	_ = t.latencies.RecordValue(min(took.Microseconds(), maxLatencyMicros))
 	t.coverageSum += answer.Coverage()
-	t.minCoverage = min(t.minCoverage, answer.Coverage())
+	t.leastCoverage = min(t.leastCoverage, answer.Coverage())
 	if isNonIdempotent(q) {
 		a.nonIdempotent = append(a.nonIdempotent, q.Request)
 	}
--- a/internal/driftdemo/report.go
+++ b/internal/driftdemo/report.go
@@ -30,18 +30,18 @@
 }
 
 // ClassReport sums up the queries of one class. P50 and P99 are the latencies
-// of answers in milliseconds. Coverage and MinCoverage are the mean and the
+// of answers in milliseconds. Coverage and LeastCoverage are the mean and the
 // smallest coverage of an answer. ExtraLoad is the number of requests to
 // upstreams beyond one for each shard, as a share of those.
 type ClassReport struct {
-	Name        string  `json:"name"`
-	Queries     int     `json:"queries"`
-	P50         float64 `json:"p50"`
-	P99         float64 `json:"p99"`
-	Coverage    float64 `json:"coverage"`
-	MinCoverage float64 `json:"least"`
-	Refused     int     `json:"refused"`
-	ExtraLoad   float64 `json:"extra"`
+	Name          string  `json:"name"`
+	Queries       int     `json:"queries"`
+	P50           float64 `json:"p50"`
+	P99           float64 `json:"p99"`
+	Coverage      float64 `json:"coverage"`
+	LeastCoverage float64 `json:"least"`
+	Refused       int     `json:"refused"`
+	ExtraLoad     float64 `json:"extra"`
 }
 
 // Violations is the number of violations of each invariant. It marshals to one
@@ -105,7 +105,7 @@
 
 func (t *tally) report(l *ledger) ClassReport {
 	c := ClassReport{
-		Name: t.class, Queries: t.queries, Refused: t.refused, MinCoverage: t.minCoverage,
+		Name: t.class, Queries: t.queries, Refused: t.refused, LeastCoverage: t.leastCoverage,
 		P50: float64(t.latencies.ValueAtQuantile(50)) / 1000,
 		P99: float64(t.latencies.ValueAtQuantile(99)) / 1000,
 	}
@@ -129,7 +129,7 @@
 	table.WriteString("class\tqueries\tp50 ms\tp99 ms\tcoverage\tleast\trefused\textra load\t\n")
 	for _, c := range r.Classes {
 		fmt.Fprintf(&table, "%s\t%d\t%.1f\t%.1f\t%.4f\t%.3f\t%d\t%.1f%%\t\n",
-			c.Name, c.Queries, c.P50, c.P99, c.Coverage, c.MinCoverage, c.Refused, 100*c.ExtraLoad)
+			c.Name, c.Queries, c.P50, c.P99, c.Coverage, c.LeastCoverage, c.Refused, 100*c.ExtraLoad)
 	}
 	aligned := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', tabwriter.AlignRight)
 	if _, err := io.WriteString(aligned, table.String()); err != nil {
--- a/internal/driftevent/catalogue.go
+++ b/internal/driftevent/catalogue.go
@@ -24,7 +24,7 @@
 	MarkChanged       Code = 130
 	SettingsReloaded  Code = 140
 	PlatformLost      Code = 141
-	PlatformRestored  Code = 142
+	PlatformRecovered Code = 142
 	EntryIgnored      Code = 143
 	ChangesApplied    Code = 144
 	PlatformReverted  Code = 145
@@ -95,7 +95,7 @@
 	{MarkChanged, "mark changed", severityInfo},
 	{SettingsReloaded, "settings reloaded", severityInfo},
 	{PlatformLost, "platform lost", severityWarning},
-	{PlatformRestored, "platform back", severityInfo},
+	{PlatformRecovered, "platform back", severityInfo},
 	{EntryIgnored, "entry ignored", severityWarning},
 	{ChangesApplied, "changes taken", severityInfo},
 	{PlatformReverted, "platform reverted", severityWarning},
