Make an ordinary test of a kept failing case

The file of the case named paths of the machine, and replays bytes that mean another case as soon as the test draws differently. TestListHidRemovals is its cause in four lines: a VM that asked one that had only a full list was moved past the removals that the list implied. Without the line that was its fix the test fails (keeps removed@30).

--- a/internal/driftstate/replica_test.go
+++ b/internal/driftstate/replica_test.go
@@ -81,6 +81,18 @@
 	})
 }
 
+// TestListHidRemovals guards against moving another VM past removals that a full
+// list implied: it would keep the removed items for good.
+func TestListHidRemovals(t *testing.T) {
+	now := time.Now()
+	behind, reader := NewReplica(), NewReplica()
+	behind.Apply(Changes{Full: true, Revision: number(30), Items: []Item{item("a", 20), item("removed", 30)}}, now)
+	reader.Apply(Changes{Full: true, Revision: number(39), Items: []Item{item("a", 38)}}, now)
+	held, _ := behind.Revision()
+	behind.Apply(reader.ChangesAfter(held), now)
+	assert.Equal(t, keys(reader), keys(behind))
+}
+
 // TestReplicasAgree applies random changes to two replicas that read from the
 // platform or from each other at random times, and checks that both converge to
 // its state.
