Test rate limits while VMs join and leave; call them rate limits everywhere

The parts of a rate limit were tested with a restart, not with a fleet that changes while VMs know of it at different times.

--- a/internal/driftrelay/limit.go
+++ b/internal/driftrelay/limit.go
@@ -31,7 +31,7 @@
 }
 
 const (
-	// rateSpan is the span over which a named limit is divided into whole requests,
+	// rateSpan is the span over which a rate limit is divided into whole requests,
 	// the shortest in which the published sites count them.
 	rateSpan = 4 * time.Second
 	// minTrialGap is the shortest time between two trials of a VM, and trialGapPerVM
--- a/internal/driftrelay/limit_test.go
+++ b/internal/driftrelay/limit_test.go
@@ -14,7 +14,7 @@
 	"github.com/almonddrift/almonddrift/internal/driftroute"
 )
 
-// Times and bounds of the published rule on named limits.
+// Times and bounds of the published rule on rate limits.
 const (
 	limitLearnTime = 4 * time.Second
 	limitRuleSpan  = 4 * time.Second
@@ -42,8 +42,16 @@
 	perSecond float64
 	// restartAt is when one VM is replaced, 0 if none is.
 	restartAt time.Duration
+	// joinAt is when joining new entry VMs are added, of which the others hear only
+	// after announceDelay. At leaveAt as many are gone, of which they hear as late.
+	joinAt, leaveAt time.Duration
+	joining         int
 }
 
+// announceDelay is how long it takes until all VMs know of a change of the fleet:
+// the time to declare a VM dead, and some rounds of gossip.
+const announceDelay = 2 * time.Second
+
 const (
 	limitedFrom  = 6 * time.Second
 	limitedUntil = 25 * time.Second
@@ -59,7 +67,7 @@
 	start := time.Now()
 	f.forEachUpstream(func(i int, s *fakeUpstream) {
 		if i < c.limited {
-			s.namedLimit, s.limitFrom, s.limitUntil = c.perSecond, start.Add(limitedFrom), start.Add(limitedUntil)
+			s.rateLimit, s.limitFrom, s.limitUntil = c.perSecond, start.Add(limitedFrom), start.Add(limitedUntil)
 			f.limited = append(f.limited, s)
 		}
 	})
@@ -75,29 +83,60 @@
 
 func (f *limitedFleet) newRelay(i int) *Relay {
 	r := New(vmInDomain(i), testHeaders, WithDialer(f.dial))
-	var others []VM
+	r.SetVMs(true, f.others(i))
+	r.UpdateView(f.view)
+	return r
+}
+
+// others returns the VMs beside one.
+func (f *limitedFleet) others(i int) (others []VM) {
 	for j := range f.vms {
 		if vm := vmInDomain(j); j != i {
 			vm.Entry = j < f.entries
 			others = append(others, vm)
 		}
 	}
-	r.SetVMs(true, others)
-	r.UpdateView(f.view)
-	return r
+	return others
+}
+
+// announce tells all VMs which others there are.
+func (f *limitedFleet) announce() {
+	for i, r := range f.relays {
+		r.SetVMs(true, f.others(i))
+	}
+}
+
+// change applies the changes of the fleet that are due, and returns the VMs that
+// have ended.
+func (f *limitedFleet) change(c limitCase, since time.Duration) (ended []*Relay) {
+	due := func(at time.Duration) bool { return at > 0 && since >= at && since < at+queryGap }
+	switch {
+	case due(c.restartAt):
+		ended = append(ended, f.relays[0])
+		f.relays[0] = f.newRelay(0)
+	case due(c.joinAt):
+		f.vms, f.entries = f.vms+c.joining, f.entries+c.joining
+		for i := len(f.relays); i < f.entries; i++ {
+			f.relays = append(f.relays, f.newRelay(i))
+		}
+	case due(c.leaveAt):
+		f.vms, f.entries = f.vms-c.joining, f.entries-c.joining
+		ended = append(ended, f.relays[f.entries:]...)
+		f.relays = f.relays[:f.entries]
+	case due(c.joinAt + announceDelay), due(c.leaveAt + announceDelay):
+		f.announce()
+	}
+	return ended
 }
 
 // run plays the day: queries arrive at the entry VMs in turn. It returns how
 // many were answered in time.
 func (f *limitedFleet) run(c limitCase) (inTime, total int) {
 	start := time.Now()
-	var replaced *Relay
+	var ended []*Relay
 	results := make(chan bool, int(limitedDay/queryGap)+1)
 	for time.Since(start) < limitedDay {
-		if c.restartAt > 0 && replaced == nil && time.Since(start) >= c.restartAt {
-			replaced = f.relays[0]
-			f.relays[0] = f.newRelay(0)
-		}
+		ended = append(ended, f.change(c, time.Since(start))...)
 		id := fmt.Sprintf("q%d", total)
 		relay := f.relays[total%len(f.relays)]
 		total++
@@ -115,10 +154,7 @@
 			inTime++
 		}
 	}
-	if replaced != nil {
-		closeAll(replaced)
-	}
-	for _, r := range f.relays {
+	for _, r := range append(ended, f.relays...) {
 		closeAll(r)
 	}
 	return inTime, total
@@ -139,7 +175,7 @@
 // allows in any span, from limitLearnTime after it had named its limit.
 func assertLimitKept(t *testing.T, s *fakeUpstream) {
 	t.Helper()
-	allowed := int(limitFactor*s.namedLimit*limitRuleSpan.Seconds() + limitSlack)
+	allowed := int(limitFactor*s.rateLimit*limitRuleSpan.Seconds() + limitSlack)
 	most := 0
 	for _, from := range s.arrivals {
 		if from.Before(s.limitFrom.Add(limitLearnTime)) || from.Add(limitRuleSpan).After(s.limitUntil) {
@@ -147,20 +183,24 @@
 		}
 		most = max(most, s.arrivalsWithin(from, limitRuleSpan))
 	}
-	t.Logf("%s: limit %.1f a second, at most %d in 4 s, %d allowed", s.name, s.namedLimit, most, allowed)
+	t.Logf("%s: limit %.1f a second, at most %d in 4 s, %d allowed", s.name, s.rateLimit, most, allowed)
 	assert.LessOrEqual(t, most, allowed)
 }
 
-// TestNamedLimitWasPassed guards against sending an upstream more requests than
-// the limit that it names (found in simulated days of all deployments).
-func TestNamedLimitWasPassed(t *testing.T) {
+// TestRateLimitWasPassed guards against sending an upstream more requests than
+// the limit that it names.
+func TestRateLimitWasPassed(t *testing.T) {
 	for _, c := range []limitCase{
-		{"two of three", 8, 8, 2, 31.1, 0},
-		{"two of three, a VM restarts", 8, 8, 2, 35.2, 13 * time.Second},
-		{"all, far below the load", 8, 8, 3, 8.6, 0},
-		{"all, below one request a VM", 8, 8, 3, 1.2, 0},
-		{"two of three, few entry VMs", 79, 9, 2, 16.5, 0},
-		{"all, many entry VMs", 60, 60, 3, 3.3, 0},
+		{name: "two of three", vms: 8, entries: 8, limited: 2, perSecond: 31.1},
+		{name: "two of three, a VM restarts", vms: 8, entries: 8, limited: 2, perSecond: 35.2, restartAt: 13 * time.Second},
+		{name: "all, far below the load", vms: 8, entries: 8, limited: 3, perSecond: 8.6},
+		{name: "all, below one request a VM", vms: 8, entries: 8, limited: 3, perSecond: 1.2},
+		{name: "two of three, few entry VMs", vms: 79, entries: 9, limited: 2, perSecond: 16.5},
+		{name: "all, many entry VMs", vms: 60, entries: 60, limited: 3, perSecond: 3.3},
+		{
+			name: "all, VMs join and leave", vms: 8, entries: 8, limited: 3, perSecond: 8.6,
+			joinAt: 11 * time.Second, leaveAt: 18 * time.Second, joining: 3,
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -201,7 +241,7 @@
 		route := nonIdempotent()
 		w := newSimulation(1, 4, 50*time.Millisecond, route)
 		w.forEachUpstream(func(_ int, s *fakeUpstream) {
-			s.namedLimit, s.limitUntil = 8, time.Now().Add(time.Hour)
+			s.rateLimit, s.limitUntil = 8, time.Now().Add(time.Hour)
 		})
 		r := w.relay()
 		served := 0
--- a/internal/driftrelay/simulation_test.go
+++ b/internal/driftrelay/simulation_test.go
@@ -39,9 +39,9 @@
 	handshake time.Duration
 	// bodySize is the size of a reply's body.
 	bodySize int
-	// namedLimit is the rate limit that replies name between limitFrom and
+	// rateLimit is the rate limit that replies name between limitFrom and
 	// limitUntil.
-	namedLimit            float64
+	rateLimit             float64
 	limitFrom, limitUntil time.Time
 	slots                 chan struct{}
 	rng                   *rand.Rand
@@ -226,7 +226,7 @@
 	if now := time.Now(); now.Before(s.limitFrom) || !now.Before(s.limitUntil) {
 		return ""
 	}
-	return fmt.Sprintf("%s: %.1f\r\n", testHeaders.RateLimit, s.namedLimit)
+	return fmt.Sprintf("%s: %.1f\r\n", testHeaders.RateLimit, s.rateLimit)
 }
 
 // pauseLeft returns how much of the current pause is left.
