Say in a demo's JSON what was violated, and how late

The JSON now lists the findings, and that of a cold upstream says how long after its first sign the last request came: a few ms speak for a sign that the process read late, more for a fault.

--- a/internal/driftdemo/audit.go
+++ b/internal/driftdemo/audit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -228,7 +229,8 @@
 	a.checkExecutions()
 	for _, s := range d.upstreams {
 		c := s.upstream.Counts()
-		a.recordViolation(driftcheck.ColdUpstream, uint64(c.ColdOverload), s.upstream.Name+" was overloaded while cold")
+		a.recordViolation(driftcheck.ColdUpstream, uint64(c.ColdOverload),
+			fmt.Sprintf("%s was overloaded while cold, last %s after its first sign", s.upstream.Name, c.ColdOverloadAge))
 		a.recordViolation(driftcheck.AtMostOnce, uint64(c.DuplicateRuns), s.upstream.Name+" ran a request again")
 		a.recordViolation(driftcheck.LeavingUpstream, uint64(c.AfterLeaving), s.upstream.Name+" got work while leaving")
 	}
--- a/internal/driftdemo/demo_test.go
+++ b/internal/driftdemo/demo_test.go
@@ -142,5 +142,8 @@
 	require.NoError(t, err)
 	assert.Contains(t, string(body), `"violations":{"snapshot":0,"coverage":0,"cold":2,`)
 	assert.Contains(t, string(body), `{"name":"counter","queries":0,"p50":0,"p99":0,"coverage":0,"least":1,"refused":0,"extra":0}`)
+	assert.Contains(t, string(body), `"seconds":1,"found":["cold: x"]}`)
+	body, err = json.Marshal(newReport(newTestAudit(), time.Second))
+	require.NoError(t, err)
 	assert.Contains(t, string(body), `"seconds":1}`)
 }
--- a/internal/driftdemo/report.go
+++ b/internal/driftdemo/report.go
@@ -26,7 +26,7 @@
 	// the number of refusals.
 	RefusalReasons []string `json:"-"`
 	// Findings describes the first violations.
-	Findings []string `json:"-"`
+	Findings []string `json:"found,omitempty"`
 }
 
 // ClassReport sums up the queries of one class. P50 and P99 are the latencies
--- a/internal/driftfake/counts.go
+++ b/internal/driftfake/counts.go
@@ -13,6 +13,9 @@
 	// shed reply or a reset connection. ColdOverloadBeforeSign counts those that
 	// arrived before that sign or within coldSignDelay after it.
 	ColdOverload, ColdOverloadBeforeSign int
+	// ColdOverloadAge is how long after the first sign the last request of
+	// ColdOverload arrived.
+	ColdOverloadAge time.Duration
 	// DuplicateRuns counts the runs of a request id after the first, for
 	// requests that are not idempotent.
 	DuplicateRuns int
@@ -57,6 +60,7 @@
 		return
 	}
 	u.counts.ColdOverload++
+	u.counts.ColdOverloadAge = now.Sub(u.coldSignAt)
 }
 
 // recordColdSign records the time of the first sign of being cold. The caller
