--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -119,19 +119,20 @@
 	_ = server.Close()
 }
 
-// beat writes the status report if more than its sequence number has changed.
+// beat writes the status report. The entry changes if the store holds another one
+// but for the sequence number.
 func (b *backend) beat() {
 	b.mu.Lock()
 	b.seq++
 	coldLeft := max(0, time.Until(b.coldUntil).Milliseconds())
 	body := fmt.Sprintf("%s %d %d", b.state, coldLeft, b.born.UnixMilli())
 	seq, state, born := b.seq, b.state, b.born.UnixMilli()
-	unchanged := body == b.lastEntry
+	unchanged := body == b.lastEntry && b.store.writer("servers/"+b.ID) == b.ID
 	b.mu.Unlock()
 	if unchanged {
 		return
 	}
-	written := b.store.put("servers/"+b.ID, map[string]any{
+	written := b.store.putBy(b.ID, "servers/"+b.ID, map[string]any{
 		"service": b.Service, "address": b.Address, "zone": b.Zone, "version": "v1", "slots": b.Slots,
 		"state": state, "coldLeftMs": coldLeft, "seq": seq, "born": born,
 	})
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -33,13 +33,15 @@
 	events   []storeItem
 	changed  chan struct{}
 	down     bool
+	// writers holds who wrote each item last.
+	writers map[string]string
 }
 
 // pageSize is the number of items in a page of a range.
 const pageSize = 500
 
 func newStore(rec *record) *store {
-	return &store{rec: rec, revision: 100, items: map[string]storeItem{}, changed: make(chan struct{})}
+	return &store{rec: rec, revision: 100, items: map[string]storeItem{}, changed: make(chan struct{}), writers: map[string]string{}}
 }
 
 func (s *store) serve(address string) (*http.Server, error) {
@@ -52,9 +54,19 @@
 	return server, nil
 }
 
-// put writes a value; the return is the confirmation. It reports false while
+// put writes a value of the operator or of another writer.
+func (s *store) put(key string, value any) bool { return s.putBy("", key, value) }
+
+// writer returns who wrote the item last.
+func (s *store) writer(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writers[key]
+}
+
+// putBy writes a value; the return is the confirmation. It reports false while
 // the store is down.
-func (s *store) put(key string, value any) bool {
+func (s *store) putBy(writer, key string, value any) bool {
 	data, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
@@ -70,7 +82,7 @@
 		created = held.Created
 	}
 	item := storeItem{Key: key, Value: base64.StdEncoding.EncodeToString(data), Revision: s.revision, Created: created}
-	s.items[key] = item
+	s.items[key], s.writers[key] = item, writer
 	s.events = append(s.events, item)
 	s.wake()
 	s.rec.printf("store: revision %d: %s = %s", s.revision, key, data)
