--- a/review/standin/case_entry.go
+++ b/review/standin/case_entry.go
@@ -51,12 +51,12 @@
 	var clients []*traffic
 	for i, m := range s.fleet.vms {
 		for service, prefix := range prefixes {
-			method := http.MethodGet
+			method, rate := http.MethodGet, 20.0
 			if service == "hire-desk" {
-				method = http.MethodPost
+				method, rate = http.MethodPost, 46.0
 			}
 			t := &traffic{
-				directory: m.directory(), host: host, zone: m.zone, perSecond: 40, clients: 12, rec: s.rec,
+				directory: m.directory(), host: host, zone: m.zone, perSecond: rate, clients: 16, rec: s.rec,
 				next: func() *call {
 					var body []byte
 					if method == http.MethodPost {
