Log when a stopping VM drains, what is in flight, and which requests it cut off

On-call could not tell the hypotheses on requests lost in a planned stop apart: a request that the VM cut off was logged as left by its caller, or not at all, since the process ended before the request was logged; nothing said when the intake and the drain ended.

A request whose connection the VM closed has the cause "cut". No decision changes.

--- a/internal/driftevent/catalogue.go
+++ b/internal/driftevent/catalogue.go
@@ -15,6 +15,7 @@
 	VMUnfenced        Code = 106
 	VMsChanged        Code = 107
 	DomainsChanged    Code = 108
+	VMDraining        Code = 109
 	OwnerChanged      Code = 110
 	ConfigInForce     Code = 120
 	ConfigRefused     Code = 121
@@ -86,6 +87,7 @@
 	{VMUnfenced, "vm unfenced", severityInfo},
 	{VMsChanged, "vms changed", severityInfo},
 	{DomainsChanged, "domains changed", severityWarning},
+	{VMDraining, "vm draining", severityInfo},
 	{OwnerChanged, "owner changed", severityTrace},
 	{ConfigInForce, "config in force", severityInfo},
 	{ConfigRefused, "config refused", severityError},
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -60,7 +60,11 @@
 	budgets      map[string]*Budget
 	typicalTimes map[string]time.Duration
 	running      int
-	sendRate     rateMeter
+	// atUpstreams counts the running queries with an attempt in flight.
+	atUpstreams int
+	// cutOff is set once this VM closes the connections of its callers.
+	cutOff   bool
+	sendRate rateMeter
 }
 
 // Option configures a Relay.
@@ -170,6 +174,7 @@
 	CauseUnknown    Cause = "unknown"  // it may have run, but there was no valid reply
 	CauseTimeout    Cause = "timeout"  // the deadline has passed
 	CauseCallerLeft Cause = "left"     // the caller has left
+	CauseCutOff     Cause = "cut"      // this VM closed the caller's connection
 )
 
 // maxRunning limits the requests that are served concurrently.
@@ -199,6 +204,42 @@
 	return r.running
 }
 
+// InFlight is the number of requests that are being served.
+type InFlight struct {
+	// Waiting have no attempt at an upstream, AtUpstreams have one or more.
+	Waiting, AtUpstreams int
+}
+
+// String implements fmt.Stringer.
+func (f InFlight) String() string {
+	return fmt.Sprintf("%d requests in flight, %d of them at upstreams", f.Waiting+f.AtUpstreams, f.AtUpstreams)
+}
+
+// InFlight returns how many requests are being served.
+func (r *Relay) InFlight() InFlight {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return InFlight{Waiting: r.running - r.atUpstreams, AtUpstreams: r.atUpstreams}
+}
+
+// CutOff tells the relay that from now on this VM closes the connections of its
+// callers, so that requests that end with them are not logged as left by theirs.
+func (r *Relay) CutOff() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cutOff = true
+}
+
+// disconnectCause returns why the connection of a caller has ended.
+func (r *Relay) disconnectCause() Cause {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cutOff {
+		return CauseCutOff
+	}
+	return CauseCallerLeft
+}
+
 // Query is one request while it is being served.
 type Query struct {
 	Request *driftexchange.Request
@@ -213,6 +254,8 @@
 	// is set once none are. The relay's lock protects both.
 	heldBytes int
 	answered  bool
+	// inFlight counts its attempts in flight.
+	inFlight int
 }
 
 // partialAnswerAt returns when the query is answered with the parts received so
@@ -291,6 +334,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	q.answered = true
+	if q.inFlight > 0 {
+		r.atUpstreams--
+	}
 	r.memory.Release(q.heldBytes - a.heldBytes)
 	q.heldBytes = 0
 }
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -129,7 +129,7 @@
 		select {
 		case <-ctx.Done():
 			s.abandonAttempts(time.Now(), true)
-			return s.recordAnswer(Answer{Status: http.StatusServiceUnavailable, Cause: CauseCallerLeft})
+			return s.recordAnswer(Answer{Status: http.StatusServiceUnavailable, Cause: s.relay.disconnectCause()})
 		case l := <-s.results:
 			s.handleResult(l, time.Now())
 		case <-timer.C:
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -22,6 +22,7 @@
 	f = &attempt{upstream: e, started: now, expected: expected, version: q.Table.Config.Version}
 	r.countLimited(q, e, extra, now)
 	e.inFlight = append(e.inFlight, f)
+	r.countInFlight(q, 1)
 	r.sendRate.count++
 	r.checker.NotLeaving(q.Request.ID, e.ID, e.leavingAt, now)
 	r.checker.NotLeaving(q.Request.ID, e.ID, e.removedAt, now)
@@ -38,6 +39,21 @@
 	return f, func() { go r.dialAndSend(f, q, deliver) }
 }
 
+// countInFlight counts an attempt of the query that begins or ends. The caller
+// holds the lock.
+func (r *Relay) countInFlight(q *Query, change int) {
+	before := q.inFlight > 0
+	q.inFlight += change
+	after := q.inFlight > 0
+	switch {
+	case q.answered || before == after:
+	case after:
+		r.atUpstreams++
+	default:
+		r.atUpstreams--
+	}
+}
+
 // checkCold checks that a cold upstream gets no more than this VM's share of
 // its published rate. The caller holds the lock.
 func (r *Relay) checkCold(q *Query, e *upstreamState, now time.Time) {
@@ -85,6 +101,7 @@
 	r.mu.Lock()
 	e := f.upstream
 	e.removeAttempt(f)
+	r.countInFlight(q, -1)
 	switch result := result.(type) {
 	case driftexchange.Done:
 		r.holdReply(q, f, result.Reply)
--- a/internal/drifttimeline/explain.go
+++ b/internal/drifttimeline/explain.go
@@ -48,6 +48,7 @@
 	"unknown":  "It was sent, but no complete answer came back. It may have run, and either may not be repeated or has no attempts left.",
 	"timeout":  "Its deadline passed before enough shards had answered.",
 	"left":     "The caller disconnected before there was an answer.",
+	"cut":      "The VM stopped and closed the connection. The request may have run if it was sent to an upstream.",
 }
 
 // Explain reads the log lines of any number of VMs and returns what they say
