Keep a connection open of whose next request a part has arrived

A client whose next request came while its previous one was still being served could see its connection closed when the server drained at that moment: the standard server reads one byte ahead while a handler runs, and the connection forgot that byte as it became idle.

The connection remembers a byte that was read ahead.

--- a/internal/driftlisten/server.go
+++ b/internal/driftlisten/server.go
@@ -157,8 +157,9 @@
 	opened time.Time
 
 	mu sync.Mutex
-	// started is set once a part of the next request was read.
-	started bool
+	// started is set once a part of the next request was read, and ahead if that was
+	// while the previous one was being served.
+	started, ahead bool
 	// first is set once anything was read, and http2 if that began like HTTP/2.
 	first, http2 bool
 }
@@ -175,6 +176,8 @@
 			c.first, c.http2 = true, strings.HasPrefix(http2Preface, string(buffer[:min(n, len(http2Preface))]))
 		}
 		c.started = true
+		// While a handler runs, the standard server reads one byte ahead.
+		c.ahead = len(buffer) == 1
 		c.mu.Unlock()
 	}
 	return n, err
@@ -195,11 +198,11 @@
 	return nil
 }
 
-// expectRequest records that nothing of the next request was read.
+// expectRequest records that the next request is awaited.
 func (c *conn) expectRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.started = false
+	c.started, c.ahead = c.ahead, false
 }
 
 // endIfUnread makes the next read fail, unless a part of a request was read. The
--- a/internal/driftlisten/server_test.go
+++ b/internal/driftlisten/server_test.go
@@ -1,6 +1,7 @@
 package driftlisten
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -184,3 +185,45 @@
 	require.NoError(t, <-results)
 	assert.NoError(t, server.Drain(t.Context()))
 }
+
+// TestStopClosedConnectionWithNextRequest guards against closing an idle connection
+// of whose next request a part arrived while the previous one was being served.
+func TestStopClosedConnectionWithNextRequest(t *testing.T) {
+	answered, release := make(chan struct{}, 2), make(chan struct{}, 2)
+	server := New(&http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "2")
+		_, _ = io.WriteString(w, "ok")
+		_ = http.NewResponseController(w).Flush()
+		answered <- struct{}{}
+		<-release
+	})})
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(listener) }()
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp4", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	_, err = io.WriteString(conn, request)
+	require.NoError(t, err)
+	<-answered
+	_, err = io.WriteString(conn, request[:1])
+	require.NoError(t, err)
+	// The server reads this byte while it serves the first request.
+	time.Sleep(50 * time.Millisecond)
+	release <- struct{}{}
+	drained := make(chan error, 1)
+	go func() { drained <- server.Drain(t.Context()) }()
+	time.Sleep(50 * time.Millisecond)
+	_, err = io.WriteString(conn, request[1:])
+	require.NoError(t, err)
+	release <- struct{}{}
+	reader := bufio.NewReader(conn)
+	for range 2 {
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+	require.NoError(t, <-drained)
+}
