Answer every request that a stopping VM has taken

Clients saw connections closed without an answer 5.3 s after the SIGTERM of a VM (LOST), on requests that upstreams were running, also on such as may run once, and on others that had waited in the VM for seconds and ran nowhere.

Cause: a planned stop had a deadline that nothing but the end of the process knew. The intake lasted 4 s, or the whole of a shorter grace period, whatever a request needs; a request that waited for a connection was sent at any moment; and when the time was over, connections were closed in place of being answered. The class: a bound on time that is enforced at the end, and by which nobody who takes or starts work decides.

Now the relay knows by when its VM stops. It takes a request, and starts an attempt, only if that ends in time, by its deadline or by one and a half times the longest request of its class of late; others are refused at once as not run, and may be tried elsewhere at once. At the end, before connections close, each request that is left gets an answer: 503 if nothing of it was sent, otherwise 502 or 504, which promise nothing. A VM that knows no others tries what may be repeated.

--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -16,7 +16,7 @@
 	if s.gather != nil {
 		return s.tryAnswerGather(now, partialAt)
 	}
-	return s.tryAnswerSingle(s.requests[0], !now.Before(s.query.Deadline))
+	return s.tryAnswerSingle(s.requests[0], !now.Before(s.answerBy))
 }
 
 // tryAnswerSingle returns the answer to a query for one upstream if it can be
@@ -29,13 +29,13 @@
 	case l.exhausted && l.failure != nil:
 		return s.passThrough(*l.failure, CausePassed), true
 	case (l.exhausted || deadlinePassed) && !l.mayHaveRun && l.sent == 0 && !anyAttemptSent(l):
-		return s.refuseNotRun(CauseNoUpstream), true
+		return s.refuseNotRun(s.endCause(l.stopped, deadlinePassed, CauseNoUpstream)), true
 	case l.exhausted && !l.mayHaveRun:
-		return s.refuseNotRun(CauseRefused), true
+		return s.refuseNotRun(s.endCause(l.stopped, deadlinePassed, CauseRefused)), true
 	case l.exhausted:
-		return Answer{Status: http.StatusBadGateway, Cause: CauseUnknown}, true
+		return Answer{Status: http.StatusBadGateway, Cause: s.endCause(l.stopped, deadlinePassed, CauseUnknown)}, true
 	case deadlinePassed:
-		return Answer{Status: http.StatusGatewayTimeout, Cause: CauseTimeout}, true
+		return Answer{Status: http.StatusGatewayTimeout, Cause: s.endCause(l.stopped, true, CauseTimeout)}, true
 	default:
 		return Answer{}, false
 	}
@@ -56,6 +56,9 @@
 		mayHaveRun = mayHaveRun || l.mayHaveRun
 	}
 	s.relay.checker.NoAttemptRan(s.query.Request.ID, mayHaveRun && !s.query.Route.Idempotent)
+	if cause == CauseStopping {
+		return refuse(cause, retryElsewhere)
+	}
 	// Another VM may have room before this one.
 	return refuse(cause, max(retrySoon, min(s.retryAfter, retryOverload)))
 }
@@ -69,7 +72,7 @@
 	}
 	shards := len(s.requests)
 	covered := CoverageReached(s.received, shards, s.gather.CoverageFloor)
-	deadlinePassed := !now.Before(s.query.Deadline)
+	deadlinePassed := !now.Before(s.answerBy)
 	switch {
 	case s.received == shards:
 		return s.mergeParts(CauseServed), true
@@ -78,7 +81,7 @@
 	case !CoverageReached(shards-failed, shards, s.gather.CoverageFloor):
 		return s.refuseNotRun(CauseNoUpstream), true
 	case deadlinePassed:
-		return Answer{Status: http.StatusGatewayTimeout, Cause: CauseTimeout}, true
+		return Answer{Status: http.StatusGatewayTimeout, Cause: s.endCause(false, true, CauseTimeout)}, true
 	default:
 		return Answer{}, false
 	}
@@ -153,6 +156,9 @@
 func (s *scatter) recordAnswer(a Answer) Answer {
 	q := s.query
 	s.relay.releaseReplies(q, a)
+	if a.Cause != CauseStopping && a.Cause != CauseCutOff {
+		s.relay.recordTime(q, time.Now())
+	}
 	s.relay.metrics.observeAnswer(q.Route.Name, a.Cause, time.Since(q.Arrived))
 	code := driftevent.RequestServed
 	if a.Cause != CauseServed {
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -59,9 +59,16 @@
 	peers        []*upstreamState
 	budgets      map[string]*Budget
 	typicalTimes map[string]time.Duration
-	running      int
+	// longest holds how long queries took at most of late, by the keys of
+	// typicalTimes.
+	longest map[string]*recentMax
+	running int
 	// atUpstreams counts the running queries with an attempt in flight.
 	atUpstreams int
+	// stopAt is when all requests must have their answers, zero unless the VM is
+	// about to stop. Stopping is closed when it is set.
+	stopAt   time.Time
+	stopping chan struct{}
 	// cutOff is set once this VM closes the connections of its callers.
 	cutOff   bool
 	sendRate rateMeter
@@ -133,7 +140,8 @@
 		reportSuspect: func(string, time.Duration) {}, viewAge: func() time.Duration { return 0 },
 		upstreams: make(map[string]*upstreamState), services: make(map[string][]*upstreamState),
 		outSince: make(map[string]time.Time), budgets: make(map[string]*Budget),
-		typicalTimes: make(map[string]time.Duration), sendRate: rateMeter{since: time.Now()},
+		typicalTimes: make(map[string]time.Duration), longest: make(map[string]*recentMax),
+		stopping: make(chan struct{}), sendRate: rateMeter{since: time.Now()},
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -174,6 +182,7 @@
 	CauseUnknown    Cause = "unknown"  // it may have run, but there was no valid reply
 	CauseTimeout    Cause = "timeout"  // the deadline has passed
 	CauseCallerLeft Cause = "left"     // the caller has left
+	CauseStopping   Cause = "stopping" // it would not end, or has not ended, before this VM stops
 	CauseCutOff     Cause = "cut"      // this VM closed the caller's connection
 )
 
@@ -309,7 +318,11 @@
 		limit = wait
 	}
 	q := &Query{Request: request, Table: table, Route: route, Arrived: arrived, Deadline: arrived.Add(limit - callerMargin)}
-	return newScatter(r, q).run(ctx)
+	s := newScatter(r, q)
+	if !s.startsBeforeStop(time.Now()) {
+		return s.recordAnswer(s.refuseNotRun(CauseStopping))
+	}
+	return s.run(ctx)
 }
 
 // Release gives back the memory of an answer that was written to its caller. It is
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -26,6 +26,10 @@
 	extras     int
 	denied     int
 	refused    int
+	// answerBy is when the query is answered with what there is. Stopping is closed
+	// when it may have changed, and then nil.
+	answerBy time.Time
+	stopping <-chan struct{}
 	// retryAfter is when the first upstream whose rate limit is reached may get a
 	// request again, 0 if none is.
 	retryAfter time.Duration
@@ -63,6 +67,8 @@
 	hedgeDelay time.Duration
 	// postponed is set once the hedge was put off, as other parts were late too.
 	postponed bool
+	// stopped is set once nothing more was tried as the VM stops.
+	stopped bool
 }
 
 type attemptResult struct {
@@ -85,7 +91,7 @@
 )
 
 func newScatter(r *Relay, q *Query) *scatter {
-	s := &scatter{relay: r, query: q}
+	s := &scatter{relay: r, query: q, answerBy: q.Deadline, stopping: r.stopping}
 	var services []string
 	switch target := q.Route.Target.(type) {
 	case driftroute.Single:
@@ -130,6 +136,8 @@
 		case <-ctx.Done():
 			s.abandonAttempts(time.Now(), true)
 			return s.recordAnswer(Answer{Status: http.StatusServiceUnavailable, Cause: s.relay.disconnectCause()})
+		case <-s.stopping:
+			s.handleStop()
 		case l := <-s.results:
 			s.handleResult(l, time.Now())
 		case <-timer.C:
@@ -275,7 +283,7 @@
 func (s *scatter) retry(l *shardRequest, now time.Time) {
 	l.failedOrLate = l.failedOrLate || !l.waiting
 	switch {
-	case !s.mayRetry(l):
+	case !s.mayRetry(l) || !s.fitsBeforeStop(l, now):
 		l.exhausted = true
 	case l.sent > 0 && !l.budgetSpent && !s.spendBudget(l, now, true):
 		l.waiting = now.Before(s.capacityWaitEnd())
@@ -392,7 +400,7 @@
 		return
 	}
 	switch {
-	case !s.query.Route.Idempotent || !s.mayRetry(l):
+	case !s.query.Route.Idempotent || !s.mayRetry(l) || !s.fitsBeforeStop(l, now):
 	case !s.hasRoom(l, now):
 		l.hedgeAt = now.Add(l.hedgeDelay)
 	case s.spendBudget(l, now, false) && s.sendToNext(l, now):
@@ -402,7 +410,7 @@
 
 // nextWake returns when the scatter has to act if no result arrives.
 func (s *scatter) nextWake(now, partialAt time.Time) time.Time {
-	next := s.query.Deadline
+	next := s.answerBy
 	if s.gather != nil && now.Before(partialAt) && partialAt.Before(next) {
 		next = partialAt
 	}
--- /dev/null
+++ b/internal/driftrelay/stop_test.go
@@ -0,0 +1,191 @@
+package driftrelay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/almonddrift/almonddrift/internal/driftcheck"
+	"github.com/almonddrift/almonddrift/internal/driftevent"
+	"github.com/almonddrift/almonddrift/internal/driftexchange"
+	"github.com/almonddrift/almonddrift/internal/driftroute"
+)
+
+func TestFitsBeforeStop(t *testing.T) {
+	for _, c := range []struct {
+		name                         string
+		left, untilDeadline, longest time.Duration
+		want                         bool
+	}{
+		{"the caller gives up first", time.Second, 900 * time.Millisecond, 0, true},
+		{"nothing is known of the class", time.Second, 4 * time.Second, 0, false},
+		{"the class is short", time.Second, 4 * time.Second, 600 * time.Millisecond, true},
+		{"it may take longer than the longest", time.Second, 4 * time.Second, 700 * time.Millisecond, false},
+		{"no time is left", 0, time.Second, time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Equal(t, c.want, FitsBeforeStop(c.left, c.untilDeadline, c.longest))
+		})
+	}
+}
+
+func TestRecentMax(t *testing.T) {
+	var m recentMax
+	start := time.Now()
+	assert.Zero(t, m.at(start))
+	m.add(start, 5)
+	m.add(start.Add(time.Second), 3)
+	assert.Equal(t, time.Duration(5), m.at(start.Add(longestSpan-1)))
+	m.add(start.Add(longestSpan), 2)
+	assert.Equal(t, time.Duration(5), m.at(start.Add(longestSpan)))
+	m.add(start.Add(2*longestSpan), 1)
+	assert.Equal(t, time.Duration(2), m.at(start.Add(2*longestSpan)))
+	assert.Zero(t, m.at(start.Add(4*longestSpan)))
+}
+
+// receipt is a class of 160 ms of work at one upstream, which callers wait 4 s for.
+func receipt() driftroute.Route {
+	route := nonIdempotent()
+	route.Name, route.Prefix, route.Idempotent = "receipt", "/receipt/", true
+	return route
+}
+
+// stopQuery is one query of a test of a planned stop.
+type stopQuery struct {
+	id          string
+	answer      Answer
+	sent, ended time.Duration
+}
+
+// runStop sends queries at a steady rate for a second before a planned stop and
+// until it is over, and returns them with times since the stop began.
+func runStop(r *Relay, route driftroute.Route, lead, grace, every time.Duration) (queries []stopQuery) {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	begins := time.Now().Add(lead)
+	for i := range int((lead + grace) / every) {
+		if i == int(lead/every) {
+			r.StopBy(begins.Add(grace))
+		}
+		group.Go(func() {
+			sent := time.Now()
+			q := stopQuery{id: fmt.Sprintf("q%d", i), sent: sent.Sub(begins)}
+			q.answer = r.Serve(context.Background(), &driftexchange.Request{
+				ID: q.id, Method: http.MethodGet, Target: route.Prefix, Host: route.Host,
+			}, route.Prefix, sent, 0)
+			q.ended = time.Since(begins)
+			mu.Lock()
+			defer mu.Unlock()
+			queries = append(queries, q)
+		})
+		time.Sleep(every)
+	}
+	group.Wait()
+	return queries
+}
+
+// runs returns how often each request ran.
+func (w *simulation) runs() map[string]int {
+	runs := make(map[string]int)
+	w.forEachUpstream(func(_ int, s *fakeUpstream) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for id, n := range s.runs {
+			runs[id] += n
+		}
+	})
+	return runs
+}
+
+// TestStop stops a VM under load. All queries are answered in time, and what was
+// refused has not run.
+func TestStop(t *testing.T) {
+	const grace = 5 * time.Second
+	for _, c := range []struct {
+		name  string
+		route driftroute.Route
+		work  time.Duration
+		conns int
+		every time.Duration
+	}{
+		{"short requests", receipt(), 160 * time.Millisecond, testConns, 40 * time.Millisecond},
+		{"long requests", receipt(), 1900 * time.Millisecond, testConns, 200 * time.Millisecond},
+		{"long requests that run once", nonIdempotent(), 1900 * time.Millisecond, testConns, 200 * time.Millisecond},
+		{"requests that wait for connections", receipt(), 400 * time.Millisecond, 9, 20 * time.Millisecond},
+		{"shards", rush(), rushServiceTime, testConns, 40 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newSimulation(10, 4, c.work, c.route)
+				for i := range w.view.Table.Config.Services {
+					w.view.Table.Config.Services[i].MaxConns = c.conns
+				}
+				w.view.Table = driftroute.NewTable(w.view.Table.Config)
+				events := driftevent.NewLog("vm-0", 1)
+				checker := driftcheck.NewChecker(events)
+				r := w.relay(WithChecks(events, checker))
+				queries := runStop(r, c.route, 5*time.Second, grace, c.every)
+				runs, served, refused := w.runs(), 0, 0
+				for _, q := range queries {
+					assert.LessOrEqual(t, q.ended, grace, "%s, sent at %v: %s", q.id, q.sent, q.answer.Cause)
+					switch q.answer.Status {
+					case http.StatusOK:
+						served++
+					case http.StatusServiceUnavailable:
+						refused++
+						assert.Zero(t, runs[q.id], "%s, sent at %v: %s", q.id, q.sent, q.answer.Cause)
+						assert.Positive(t, q.answer.RetryAfter)
+					}
+				}
+				t.Logf("%d queries, %d served, %d refused", len(queries), served, refused)
+				assert.NotZero(t, served)
+				assert.Equal(t, InFlight{}, r.InFlight())
+				assert.Zero(t, checker.Total())
+				closeAll(r)
+			})
+		})
+	}
+}
+
+// TestStopAlone stops the only VM: it goes on to serve what may be repeated, and
+// answers what has not ended.
+func TestStopAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const grace = 5 * time.Second
+		w := newSimulation(1, 8, 1900*time.Millisecond, receipt())
+		r := w.relayInFleet(1, 1)
+		for _, q := range runStop(r, receipt(), 5*time.Second, grace, 200*time.Millisecond) {
+			assert.LessOrEqual(t, q.ended, grace)
+			if q.sent < time.Second {
+				assert.Equal(t, http.StatusOK, q.answer.Status, "%s, sent at %v", q.id, q.sent)
+			}
+			assert.NotEqual(t, http.StatusServiceUnavailable, q.answer.Status, "%s, sent at %v", q.id, q.sent)
+		}
+		closeAll(r)
+	})
+}
+
+// TestStopHeldUpRequests guards against holding a request that waits for a
+// connection until the VM ends, when it can no longer be served there.
+func TestStopHeldUpRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newSimulation(1, 4, 160*time.Millisecond, receipt())
+		w.view.Table.Config.Services[0].MaxConns = 0
+		w.view.Table = driftroute.NewTable(w.view.Table.Config)
+		r := w.relay()
+		queries := runStop(r, receipt(), 200*time.Millisecond, 5*time.Second, 100*time.Millisecond)
+		for _, q := range queries {
+			assert.Equal(t, http.StatusServiceUnavailable, q.answer.Status)
+			if q.sent > 2*time.Second {
+				assert.Less(t, q.ended-q.sent, time.Millisecond, "%s, sent at %v", q.id, q.sent)
+			}
+		}
+		closeAll(r)
+	})
+}
--- a/internal/drifttimeline/explain.go
+++ b/internal/drifttimeline/explain.go
@@ -48,6 +48,7 @@
 	"unknown":  "It was sent, but no complete answer came back. It may have run, and either may not be repeated or has no attempts left.",
 	"timeout":  "Its deadline passed before enough shards had answered.",
 	"left":     "The caller disconnected before there was an answer.",
+	"stopping": "The VM was told to stop. With status 503 the request was refused, as it would not end before the VM does, and did not run; otherwise it had not ended in time and may have run.",
 	"cut":      "The VM stopped and closed the connection. The request may have run if it was sent to an upstream.",
 }
 
