Leave a stopping VM of the own interface time to drain

With a time to stop that is shorter than callers keep addresses, a VM took queries until the time was over and then interrupted those in flight: the same cause as on the users' platform, where the intake knew nothing of the end.

The intake takes half of the time at most.

--- a/internal/driftnode/leave.go
+++ b/internal/driftnode/leave.go
@@ -16,19 +16,22 @@
 	// queries. It covers the network delay of the last list that is sent to a
 	// caller.
 	entryListSlack = 500 * time.Millisecond
+	// intakeShare is the largest share of the time until the context's deadline in
+	// which a leaving VM accepts queries. The rest is left to those in flight.
+	intakeShare = 0.5
 	// drainPollInterval is the time between two checks of what is in flight.
 	drainPollInterval = 20 * time.Millisecond
 )
 
 // Leave shuts the VM down gracefully. It releases its upstreams and notifies
 // the other VMs at once, accepts queries for as long as callers may keep its
-// address, then refuses new ones as not run, and returns when nothing is in
-// flight. If ctx ends earlier, the error contains the number of requests that
+// address, or half of the time until the deadline of ctx if that is shorter, then
+// refuses new ones as not run, and returns when nothing is in flight. If ctx ends earlier, the error contains the number of requests that
 // are interrupted. The caller stops Run afterwards.
 func (n *Node) Leave(ctx context.Context) (err error) {
 	defer errors.DeferredAnnotatef(&err, "VM %q is leaving", n.Self.Name)
 	n.Control.Leave(ctx)
-	sleep(ctx, n.EntryListTTL+entryListSlack)
+	sleep(ctx, n.intakeTime(ctx))
 	n.Control.Close(ctx)
 	// After this delay every query that the earlier view admitted is counted.
 	sleep(ctx, drainPollInterval)
@@ -43,6 +46,15 @@
 	return nil
 }
 
+// intakeTime returns for how long a leaving VM accepts queries.
+func (n *Node) intakeTime(ctx context.Context) time.Duration {
+	intake := n.EntryListTTL + entryListSlack
+	if deadline, ok := ctx.Deadline(); ok {
+		intake = min(intake, time.Duration(intakeShare*float64(time.Until(deadline))))
+	}
+	return intake
+}
+
 // InFlight returns the number of callers' queries and of other VMs' shard
 // requests that are running at this VM.
 func (n *Node) InFlight() int {
--- a/internal/drifttest/rolling_test.go
+++ b/internal/drifttest/rolling_test.go
@@ -1,6 +1,9 @@
 package drifttest
 
 import (
+	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/almonddrift/almonddrift/internal/driftfake"
+	"github.com/almonddrift/almonddrift/pkg/driftapi"
 )
 
 // TestRollingReplacement replaces all VMs one after the other under load. No
@@ -72,3 +76,29 @@
 	t.Logf("%d queries, mean coverage %.4f, p50 %s, p99 %s, %v", result.Queries, result.MeanCoverage(),
 		result.LatencyQuantile(0.5, defaultDeadline), result.LatencyQuantile(0.99, defaultDeadline), result.ReasonCounts)
 }
+
+// TestShortStopInterruptedQueries guards against a graceful stop that takes queries
+// for as long as callers keep the VM's address, though it has less time than that.
+func TestShortStopInterruptedQueries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFleet(t, driftfake.Oshana())
+		vm := VMNames()[0]
+		ctx, cancel := context.WithTimeout(t.Context(), entryListTTL/2)
+		defer cancel()
+		var group sync.WaitGroup
+		group.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				group.Go(func() {
+					f.handler(vm).Query(t.Context(), driftapi.Query{
+						Request: fmt.Sprintf("q%d", i), Class: "counter", Text: "church", Deadline: defaultDeadline.Milliseconds(),
+					})
+				})
+				time.Sleep(time.Millisecond)
+			}
+		})
+		assert.NoError(t, f.Node(vm).Leave(ctx))
+		cancel()
+		group.Wait()
+		assert.Empty(t, f.Violations())
+	})
+}
