--- a/internal/drifttest/rolling_test.go
+++ b/internal/drifttest/rolling_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/almonddrift/almonddrift/internal/driftfake"
 	"github.com/almonddrift/almonddrift/pkg/driftapi"
@@ -96,7 +97,7 @@
 				time.Sleep(time.Millisecond)
 			}
 		})
-		assert.NoError(t, f.Node(vm).Leave(ctx))
+		require.NoError(t, f.Node(vm).Leave(ctx))
 		cancel()
 		group.Wait()
 		assert.Empty(t, f.Violations())
