Try requests of a stopping VM while no other one serves callers

A fleet whose VMs are all told to stop refused what may be repeated although no other VM could serve it: VMs that had only been alive of late counted as others. Now those that callers are sent to do. TestStopAlone failed before with 503.

--- a/internal/driftrelay/stop.go
+++ b/internal/driftrelay/stop.go
@@ -85,10 +85,10 @@
 }
 
 // fitsBeforeStop reports whether a request of the route that starts now ends before
-// the VM stops, if it does. A VM without others tries requests that may be repeated
-// all the same: no other could serve them. The caller holds the lock.
+// the VM stops, if it does. While no other VM serves callers, requests that may be
+// repeated are tried all the same. The caller holds the lock.
 func (r *Relay) fitsBeforeStop(route *driftroute.Route, deadline, now time.Time) bool {
-	alone := len(r.others) == 0
+	alone := len(r.peers) == 0
 	if r.stopAt.IsZero() || (alone && route.Idempotent) {
 		return true
 	}
--- a/internal/driftrelay/stop_test.go
+++ b/internal/driftrelay/stop_test.go
@@ -56,6 +56,12 @@
 	return route
 }
 
+// servingVMs are VMs that serve while another one stops.
+var servingVMs = []VM{
+	{Name: "vm-1", Domain: "domain-1", Entry: true, Address: "10.0.9.1:1"},
+	{Name: "vm-2", Domain: "domain-2", Entry: true, Address: "10.0.9.2:1"},
+}
+
 // stopQuery is one query of a test of a planned stop.
 type stopQuery struct {
 	id          string
@@ -130,6 +136,7 @@
 				events := driftevent.NewLog("vm-0", 1)
 				checker := driftcheck.NewChecker(events)
 				r := w.relay(WithChecks(events, checker))
+				r.SetVMs(true, servingVMs)
 				queries := runStop(r, c.route, 5*time.Second, grace, c.every)
 				runs, served, refused := w.runs(), 0, 0
 				for _, q := range queries {
@@ -153,13 +160,14 @@
 	}
 }
 
-// TestStopAlone stops the only VM: it goes on to serve what may be repeated, and
+// TestStopAlone stops a VM while no other one serves, as the others stop too: it goes on to serve what may be repeated, and
 // answers what has not ended.
 func TestStopAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const grace = 5 * time.Second
 		w := newSimulation(1, 8, 1900*time.Millisecond, receipt())
-		r := w.relayInFleet(1, 1)
+		r := w.relay()
+		r.SetVMs(true, []VM{{Name: "vm-1", Domain: "domain-1", Entry: true}})
 		for _, q := range runStop(r, receipt(), 5*time.Second, grace, 200*time.Millisecond) {
 			assert.LessOrEqual(t, q.ended, grace)
 			if q.sent < time.Second {
@@ -179,6 +187,7 @@
 		w.view.Table.Config.Services[0].MaxConns = 0
 		w.view.Table = driftroute.NewTable(w.view.Table.Config)
 		r := w.relay()
+		r.SetVMs(true, servingVMs)
 		queries := runStop(r, receipt(), 200*time.Millisecond, 5*time.Second, 100*time.Millisecond)
 		for _, q := range queries {
 			assert.Equal(t, http.StatusServiceUnavailable, q.answer.Status)
