Reject replies with a space before the colon of a header

What callers saw: a reply with "Content-Length : 4" that was cut after 2 bytes came to the caller as 200 with those 2 bytes, framed as whole; one with "Transfer-Encoding : chunked" came with the chunk sizes in its body.

Cause: net/http keeps the name with its space and so finds neither a length nor a coding. The body is then taken to end with the connection, and a plain close is its regular end.

Change: such a reply is malformed, and the request may have run. RFC 9112, 5.1, allows no space there.

Failed before, over sockets: TestReplyFraming/space_before_the_colon,_cut and two more of its cases, "expected to be of type driftexchange.Unknown, but was driftexchange.Done", body "ok" of 4 bytes. They pass now, 3 of 3 runs with -race -cpu 1.

Same cause elsewhere: TestReplyWasCut cuts replies of ten framings at every byte, by a close and by a reset. It found no other short body that was taken for whole; all of its cases passed before the change.

--- a/internal/driftexchange/conn.go
+++ b/internal/driftexchange/conn.go
@@ -269,6 +269,9 @@
 	if err != nil {
 		return reply, false, err
 	}
+	if !validFieldNames(response.Header) {
+		return reply, false, ErrMalformed
+	}
 	if response.StatusCode < http.StatusOK {
 		return Reply{Status: response.StatusCode}, false, nil
 	}
