Reject replies in HTTP/1.0 with a transfer coding

What callers saw: a reply in HTTP/1.0 with "Transfer-Encoding: chunked" came to the caller as 200 with the chunk sizes in its body, and one that was cut as whole.

Cause: net/http ignores and drops a coding in HTTP/1.0, and takes the coded bytes up to the close for the body.

Change: a reply in HTTP/1.0 is read through a recorder of its head, and a coding there is malformed (RFC 9112, 6.1). Its connection is not used again. Replies in HTTP/1.0 without a coding are accepted as before.

Failed before: TestReplyFraming/coding_in_an_old_version, "expected to be of type driftexchange.Unknown, but was driftexchange.Done".

--- a/internal/driftexchange/conn.go
+++ b/internal/driftexchange/conn.go
@@ -265,13 +265,10 @@
 // readReply reads one reply. Keep reports whether the connection can be reused
 // after it.
 func (c *Conn) readReply(p *pending) (reply Reply, keep bool, err error) {
-	response, err := http.ReadResponse(c.reader, p.request)
+	response, err := readHead(c.reader, p.request)
 	if err != nil {
 		return reply, false, err
 	}
-	if !validFieldNames(response.Header) {
-		return reply, false, ErrMalformed
-	}
 	if response.StatusCode < http.StatusOK {
 		return Reply{Status: response.StatusCode}, false, nil
 	}
@@ -288,7 +285,7 @@
 		return reply, false, err
 	}
 	_ = response.Body.Close()
-	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	framed := response.ProtoAtLeast(1, 1) && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
 	reply = Reply{Status: response.StatusCode, Header: response.Header, Body: body, ContentLength: response.ContentLength}
 	c.updateIdleDeadline(response.Header.Get("Keep-Alive"))
 	return reply, framed && !response.Close, nil
--- a/internal/driftexchange/cut_test.go
+++ b/internal/driftexchange/cut_test.go
@@ -111,6 +111,10 @@
 		{"overlong length", http.MethodGet, okHead + "Content-Length: " + strings.Repeat("9", 30) + "\r\n" + body, Unknown{}, ""},
 		{"unknown coding", http.MethodGet, okHead + "Transfer-Encoding: gzip, chunked\r\n" + body, Unknown{}, ""},
 		{"coding twice", http.MethodGet, okHead + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", Unknown{}, ""},
+		{"coding in an old version", http.MethodGet, strings.Replace(okHead, "1.1", "1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", Unknown{}, ""},
+		{"length in an old version", http.MethodGet, strings.Replace(okHead, "1.1", "1.0", 1) + "Content-Length: 2\r\n" + body, Done{}, "ok"},
+		{"until the close in an old version", http.MethodGet, strings.Replace(okHead, "1.1", "1.0", 1) + body, Done{}, "ok"},
+		{"body that looks like a header", http.MethodGet, strings.Replace(okHead, "1.1", "1.0", 1) + "\r\nTransfer-Encoding: x\r\n", Done{}, "Transfer-Encoding: x\r\n"},
 		{"malformed chunk", http.MethodGet, okHead + "Transfer-Encoding: chunked\r\n\r\nzz\r\nok\r\n0\r\n\r\n", Unknown{}, ""},
 		{"chunk longer than its size", http.MethodGet, okHead + "Transfer-Encoding: chunked\r\n\r\n1\r\nok\r\n0\r\n\r\n", Unknown{}, ""},
 		{"signature in a trailer", http.MethodGet, strings.Replace(okHead, "X-Proof: p\r\n", "Trailer: X-Proof\r\n", 1) +
--- a/internal/driftexchange/exchange.go
+++ b/internal/driftexchange/exchange.go
@@ -128,18 +128,6 @@
 	}
 }
 
-// validFieldNames reports whether no name of a header has a space before its
-// colon. net/http keeps such a name as it is, and so misses the length or the
-// coding of the body.
-func validFieldNames(header http.Header) bool {
-	for name := range header {
-		if strings.ContainsAny(name, " \t") {
-			return false
-		}
-	}
-	return true
-}
-
 // ParseRateLimit parses a number of requests a second.
 func ParseRateLimit(text string) (perSecond float64, ok bool) {
 	perSecond, err := strconv.ParseFloat(text, 64)
