Prove that a request has not run before refusing it so

What callers saw: 503, which promises that a request has not run and never will, for a request that an upstream then ran. It needs a connection that opens at the moment at which the request is given up: at the end of a planned stop, or when nothing more can be tried.

Cause: the decision looked at attempt.sent without the relay's lock, and gave up the attempts later, under it. In between dialAndSend could send the request.

Change: withdraw gives up what was not sent and looks at what was, under one lock, and returns a NotRun, the proof. Only refuse answers with a status that promises, and it needs that proof; without one it answers 502. A request that all upstreams have refused is now refused as not run at its deadline too; it got 504.

The same in hedge(): looked at, and right: it reads sent and sets abandoned under one lock.

The violation in TestInvariantViolations passes a proof, as refuseNotRun needs one; the condition that it expects is the same.

--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -28,39 +28,41 @@
 		return s.passThrough(*l.part, CauseServed), true
 	case l.exhausted && l.failure != nil:
 		return s.passThrough(*l.failure, CausePassed), true
-	case (l.exhausted || deadlinePassed) && !l.mayHaveRun && l.sent == 0 && !anyAttemptSent(l):
-		return s.refuseNotRun(s.endCause(l.stopped, deadlinePassed, CauseNoUpstream)), true
-	case l.exhausted && !l.mayHaveRun:
-		return s.refuseNotRun(s.endCause(l.stopped, deadlinePassed, CauseRefused)), true
-	case l.exhausted:
-		return Answer{Status: http.StatusBadGateway, Cause: s.endCause(l.stopped, deadlinePassed, CauseUnknown)}, true
-	case deadlinePassed:
-		return Answer{Status: http.StatusGatewayTimeout, Cause: s.endCause(l.stopped, true, CauseTimeout)}, true
+	case l.exhausted || deadlinePassed:
+		return s.endSingle(l, deadlinePassed), true
 	default:
 		return Answer{}, false
 	}
 }
 
-func anyAttemptSent(l *shardRequest) bool {
-	for _, f := range l.inFlight {
-		if f.sent {
-			return true
-		}
+// endSingle returns the answer to a query for one upstream that has none, and for
+// which nothing more is done.
+func (s *scatter) endSingle(l *shardRequest, deadlinePassed bool) Answer {
+	n := s.withdraw()
+	switch {
+	case n.evidence == neverSent:
+		return s.refuseNotRun(n, s.endCause(l.stopped, deadlinePassed, CauseNoUpstream))
+	case n.Proven():
+		return s.refuseNotRun(n, s.endCause(l.stopped, deadlinePassed, CauseRefused))
+	case l.exhausted:
+		return Answer{Status: http.StatusBadGateway, Cause: s.endCause(l.stopped, deadlinePassed, CauseUnknown)}
+	default:
+		return Answer{Status: http.StatusGatewayTimeout, Cause: s.endCause(l.stopped, true, CauseTimeout)}
 	}
-	return false
 }
 
-func (s *scatter) refuseNotRun(cause Cause) Answer {
+// refuseNotRun refuses the query, with the proof that it has not run.
+func (s *scatter) refuseNotRun(n NotRun, cause Cause) Answer {
 	mayHaveRun := false
 	for _, l := range s.requests {
 		mayHaveRun = mayHaveRun || l.mayHaveRun
 	}
 	s.relay.checker.NoAttemptRan(s.query.Request.ID, mayHaveRun && !s.query.Route.Idempotent)
 	if cause == CauseStopping {
-		return refuse(cause, retryElsewhere)
+		return refuse(n, cause, retryElsewhere)
 	}
 	// Another VM may have room before this one.
-	return refuse(cause, max(retrySoon, min(s.retryAfter, retryOverload)))
+	return refuse(n, cause, max(retrySoon, min(s.retryAfter, retryOverload)))
 }
 
 func (s *scatter) tryAnswerGather(now, partialAt time.Time) (Answer, bool) {
@@ -79,7 +81,7 @@
 	case covered && (!now.Before(partialAt) || s.received+failed == shards || deadlinePassed):
 		return s.mergeParts(CausePartial), true
 	case !CoverageReached(shards-failed, shards, s.gather.CoverageFloor):
-		return s.refuseNotRun(CauseNoUpstream), true
+		return s.refuseNotRun(NotRun{neverSent}, CauseNoUpstream), true
 	case deadlinePassed:
 		return Answer{Status: http.StatusGatewayTimeout, Cause: s.endCause(false, true, CauseTimeout)}, true
 	default:
--- a/internal/driftrelay/invariant_test.go
+++ b/internal/driftrelay/invariant_test.go
@@ -82,7 +82,7 @@
 		}},
 		{driftcheck.NotRun, "a refusal after it ran", nonIdempotent(), func(b violationFixture) {
 			b.scatter.requests[0].mayHaveRun = true
-			b.scatter.refuseNotRun(CauseRefused)
+			b.scatter.refuseNotRun(NotRun{alwaysRefused}, CauseRefused)
 		}},
 		{driftcheck.AtMostOnce, "sent again after it ran", nonIdempotent(), func(b violationFixture) {
 			b.scatter.requests[0].mayHaveRun = true
--- /dev/null
+++ b/internal/driftrelay/promise.go
@@ -0,0 +1,64 @@
+package driftrelay
+
+import (
+	"net/http"
+	"time"
+)
+
+// Promises: the statuses 408, 421, 429 and 503 tell a caller that its request has
+// not run and never will, so that it may be sent again although it may run only
+// once. Only refuse answers with one of them, and only with a proof.
+
+// NotRun is the proof that a request has run at no upstream and never will. The
+// zero value proves nothing.
+type NotRun struct{ evidence evidence }
+
+// evidence is what a NotRun is based on.
+type evidence int
+
+const (
+	// noEvidence is that of a request that may have run.
+	noEvidence evidence = iota
+	// neverSent is that of a request that was sent to no upstream.
+	neverSent
+	// alwaysRefused is that of a request that every upstream it was sent to has
+	// refused with a promise of its own.
+	alwaysRefused
+)
+
+// Proven reports whether the request has certainly not run.
+func (n NotRun) Proven() bool { return n.evidence != noEvidence }
+
+// refuse returns the refusal of a request. Without the proof that it has not run,
+// the answer promises nothing.
+func refuse(n NotRun, cause Cause, retry time.Duration) Answer {
+	a := Answer{Status: http.StatusServiceUnavailable, Cause: cause, RetryAfter: retry, NotRun: n}
+	if !n.Proven() {
+		a.Status = http.StatusBadGateway
+	}
+	return a
+}
+
+// withdraw gives up the attempts whose request was not sent yet, and returns the
+// proof that the query has not run, if there is one. Both are done under one lock,
+// so that no attempt is sent after the proof was made.
+func (s *scatter) withdraw() NotRun {
+	s.relay.mu.Lock()
+	defer s.relay.mu.Unlock()
+	n := NotRun{neverSent}
+	mayHaveRun := false
+	for _, l := range s.requests {
+		mayHaveRun = mayHaveRun || l.mayHaveRun
+		if l.sent > 0 {
+			n = NotRun{alwaysRefused}
+		}
+		for _, f := range l.inFlight {
+			mayHaveRun = mayHaveRun || f.sent
+			f.abandoned = f.abandoned || !f.sent
+		}
+	}
+	if mayHaveRun {
+		return NotRun{}
+	}
+	return n
+}
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -161,6 +161,8 @@
 	Cause Cause
 	// RetryAfter is when the caller may try again, 0 if unspecified.
 	RetryAfter time.Duration
+	// NotRun is the proof that the request has not run, if there is one.
+	NotRun NotRun
 	// heldBytes are those of Body that Release gives back.
 	heldBytes int
 }
@@ -320,7 +322,7 @@
 	q := &Query{Request: request, Table: table, Route: route, Arrived: arrived, Deadline: arrived.Add(limit - callerMargin)}
 	s := newScatter(r, q)
 	if !s.startsBeforeStop(time.Now()) {
-		return s.recordAnswer(s.refuseNotRun(CauseStopping))
+		return s.recordAnswer(s.refuseNotRun(s.withdraw(), CauseStopping))
 	}
 	return s.run(ctx)
 }
@@ -370,7 +372,7 @@
 // refuseUnrouted refuses a request for which no route was looked up or found.
 func (r *Relay) refuseUnrouted(request *driftexchange.Request, cause Cause, retry time.Duration) Answer {
 	r.metrics.observeAnswer("", cause, 0)
-	answer := refuse(cause, retry)
+	answer := refuse(NotRun{neverSent}, cause, retry)
 	r.events.Record(driftevent.RequestFailed, request.ID, request.Host,
 		fmt.Sprintf("%s status %d", cause, answer.Status))
 	return answer
@@ -397,8 +399,3 @@
 	defer r.mu.Unlock()
 	r.running--
 }
-
-// refuse returns the refusal of a request that has not run.
-func refuse(cause Cause, retry time.Duration) Answer {
-	return Answer{Status: http.StatusServiceUnavailable, Cause: cause, RetryAfter: retry}
-}
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -196,7 +196,7 @@
 		return false
 	}
 	l.waiting = false
-	mayHaveRun := l.mayHaveRun || anyAttemptSent(l)
+	mayHaveRun := l.mayHaveRun || slices.ContainsFunc(l.inFlight, func(f *attempt) bool { return f.sent })
 	f, send := r.startAttempt(s.query, best.upstream, min(best.cost, s.query.Route.LatencyObjective), len(l.tried) > 0, func(f *attempt, result driftexchange.Result) {
 		s.results <- attemptResult{request: l, attempt: f, result: result}
 	})
--- a/internal/driftrelay/simulation_test.go
+++ b/internal/driftrelay/simulation_test.go
@@ -33,6 +33,8 @@
 	// refusalRate and replyLossRate are the shares of requests that are refused,
 	// and whose reply is lost after they ran.
 	refusalRate, replyLossRate float64
+	// failsWith is the status of the replies after a run, 0 for success.
+	failsWith int
 	// unreachable makes new connections hang.
 	unreachable bool
 	// handshake is how much longer the first request of a connection takes.
@@ -212,7 +214,11 @@
 	if lost {
 		return false
 	}
-	ok := writeReply(conn, "200 OK", testHeaders.Signature+": "+s.name+"."+id+"\r\n"+s.limitHeader(), id, strings.Repeat("r", s.bodySize))
+	status := "200 OK"
+	if s.failsWith > 0 {
+		status = fmt.Sprintf("%d Failed", s.failsWith)
+	}
+	ok := writeReply(conn, status, testHeaders.Signature+": "+s.name+"."+id+"\r\n"+s.limitHeader(), id, strings.Repeat("r", s.bodySize))
 	if !ok {
 		s.mu.Lock()
 		s.failedWrites++
