Pass on no promise that an upstream has not made

What callers saw: 503, which promises that a request has not run, for a request that may run only once and had run. They sent it again, and it ran twice.

Cause: a failure of an upstream was passed on with its status, whatever that promises, and though the upstream had not said that it had not run the request.

Change: such a failure reaches the caller as 502 without the upstream's header and body. If the request may be repeated it is passed on as before; docs/decisions/promises.md says why.

The tests of driftrelay and platform pass with -race -cpu 1. In an earlier run TestStopCutOffRequestsTakenLate could not start a VM, "listen udp4 127.64.55.2:7740: bind: address already in use", while another run of the tests was on the machine.

--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -27,7 +27,7 @@
 		s.checkPart(l)
 		return s.passThrough(*l.part, CauseServed), true
 	case l.exhausted && l.failure != nil:
-		return s.passThrough(*l.failure, CausePassed), true
+		return s.passFailure(*l.failure), true
 	case l.exhausted || deadlinePassed:
 		return s.endSingle(l, deadlinePassed), true
 	default:
@@ -95,6 +95,17 @@
 	return Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body, Cause: cause, heldBytes: len(reply.Body)}
 }
 
+// passFailure returns the failure of an upstream unchanged, unless that would
+// promise to the caller what the upstream has not promised.
+func (s *scatter) passFailure(reply driftexchange.Reply) Answer {
+	if IsPromise(reply.Status) && !s.query.Route.Idempotent {
+		return refuse(NotRun{}, CauseUnknown, 0)
+	}
+	a := s.passThrough(reply, CausePassed)
+	a.ofUpstream = true
+	return a
+}
+
 // mergeParts returns the answer merged from the parts received so far.
 func (s *scatter) mergeParts(cause Cause) Answer {
 	var bodies [][]byte
--- a/internal/driftrelay/promise.go
+++ b/internal/driftrelay/promise.go
@@ -7,7 +7,9 @@
 
 // Promises: the statuses 408, 421, 429 and 503 tell a caller that its request has
 // not run and never will, so that it may be sent again although it may run only
-// once. Only refuse answers with one of them, and only with a proof.
+// once. Only refuse answers with one of them, and only with a proof. Failures of
+// upstreams are passed on with such a status only to callers that may repeat the
+// request in any case (docs/decisions/promises.md).
 
 // NotRun is the proof that a request has run at no upstream and never will. The
 // zero value proves nothing.
@@ -29,6 +31,26 @@
 // Proven reports whether the request has certainly not run.
 func (n NotRun) Proven() bool { return n.evidence != noEvidence }
 
+// IsPromise reports whether a status promises that the request has not run.
+func IsPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// Kept returns the answer as it may be written: one that promises without a proof
+// is replaced by one that promises nothing. The failure of an upstream, to a
+// request that may run again, is left as it is.
+func (a Answer) Kept() Answer {
+	if IsPromise(a.Status) && !a.NotRun.Proven() && !a.ofUpstream {
+		return Answer{Status: http.StatusBadGateway, Cause: a.Cause}
+	}
+	return a
+}
+
 // refuse returns the refusal of a request. Without the proof that it has not run,
 // the answer promises nothing.
 func refuse(n NotRun, cause Cause, retry time.Duration) Answer {
--- a/internal/driftrelay/promise_test.go
+++ b/internal/driftrelay/promise_test.go
@@ -27,6 +27,33 @@
 	}
 }
 
+// TestFailurePassedOnAsRefusal guards against passing on the failure of an upstream
+// that has run a request, with a status that promises that it has not.
+func TestFailurePassedOnAsRefusal(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for _, route := range []driftroute.Route{nonIdempotent(), receipt()} {
+			t.Run(fmt.Sprintf("%d, %s", status, route.Name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newSimulation(1, 2, 10*time.Millisecond, route)
+					w.forEachUpstream(func(_ int, s *fakeUpstream) { s.failsWith = status })
+					r := w.relay()
+					a := sendQuery(t.Context(), r, route)
+					assert.NotZero(t, w.runs()["q"])
+					if route.Idempotent {
+						assert.Equal(t, status, a.Status, "the upstream's own answer")
+						assert.NotEmpty(t, a.Header.Get(testHeaders.Signature))
+					} else {
+						assert.Equal(t, http.StatusBadGateway, a.Status)
+						assert.Empty(t, a.Header, "what the upstream sent belongs to its status")
+						assert.Empty(t, a.Body)
+					}
+					closeAll(r)
+				})
+			})
+		}
+	}
+}
+
 // TestRefusedAsItWasSent guards against refusing a request as not run at the moment
 // at which the connection for it opens and it is sent.
 func TestRefusedAsItWasSent(t *testing.T) {
@@ -91,3 +118,17 @@
 		closeAll(r)
 	})
 }
+
+// TestPromiseWithoutProof checks that no answer is written that promises without a
+// proof, wherever it was made.
+func TestPromiseWithoutProof(t *testing.T) {
+	for _, status := range promises {
+		assert.Equal(t, http.StatusBadGateway, Answer{Status: status, Header: http.Header{"X-Proof": {"p"}}}.Kept().Status)
+		assert.Empty(t, Answer{Status: status, Header: http.Header{"X-Proof": {"p"}}}.Kept().Header)
+		assert.Equal(t, status, Answer{Status: status, NotRun: NotRun{alwaysRefused}}.Kept().Status)
+		assert.Equal(t, status, Answer{Status: status, ofUpstream: true}.Kept().Status)
+	}
+	for _, status := range []int{http.StatusOK, http.StatusNotFound, http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout} {
+		assert.Equal(t, status, Answer{Status: status}.Kept().Status)
+	}
+}
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -163,6 +163,9 @@
 	RetryAfter time.Duration
 	// NotRun is the proof that the request has not run, if there is one.
 	NotRun NotRun
+	// ofUpstream is set if the status is that of an upstream's failure, of a request
+	// that may be repeated.
+	ofUpstream bool
 	// heldBytes are those of Body that Release gives back.
 	heldBytes int
 }
