Promise nothing to a caller that left while its request ran

What callers saw: a caller that closed its connection for writing only, which ends the request, read 503 although an upstream had begun to run it.

Cause: the answer to a caller that has left was 503 whatever had been sent, as it was taken that nobody reads it.

Change: it needs the proof that nothing was sent, as every refusal does. TestPromisesAreMadeInOnePlace lets only promise.go name the statuses that promise, besides directory.go, where the platform asks whether a VM is ready.

Failed before: TestRefusedWhenCallerLeft, "should not contain 503 [...] q has run: left", and TestPromisesAreMadeInOnePlace, "scatter.go". Over sockets Answer.Kept had stopped it already: TestHalfClosedClientWasRefused fails without that line, "expected: 502, actual: 503".

--- a/internal/driftrelay/promise_test.go
+++ b/internal/driftrelay/promise_test.go
@@ -3,14 +3,20 @@
 import (
 	"context"
 	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
 	"net"
 	"net/http"
+	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/almonddrift/almonddrift/internal/driftexchange"
 	"github.com/almonddrift/almonddrift/internal/driftroute"
@@ -105,6 +111,22 @@
 	}
 }
 
+// TestRefusedWhenCallerLeft guards against refusing a running request as not run
+// when its caller has closed its end for writing, and reads on.
+func TestRefusedWhenCallerLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newSimulation(1, 2, time.Second, nonIdempotent())
+		r := w.relay()
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		a := sendQuery(ctx, r, nonIdempotent())
+		assert.NotZero(t, w.runs()["q"])
+		assert.Equal(t, CauseCallerLeft, a.Cause)
+		assertPromiseKept(t, w, "q", a)
+		closeAll(r)
+	})
+}
+
 // TestRefusalsUntilTheEnd checks that a request that every upstream has refused is
 // refused as not run, also if the wait for another ends with the time for it.
 func TestRefusalsUntilTheEnd(t *testing.T) {
@@ -132,3 +154,32 @@
 		assert.Equal(t, status, Answer{Status: status}.Kept().Status)
 	}
 }
+
+// TestPromisesAreMadeInOnePlace checks that the statuses that promise are named
+// only where a proof is asked for, and where the platform asks whether a VM is
+// ready.
+func TestPromisesAreMadeInOnePlace(t *testing.T) {
+	allowed := map[string]bool{"promise.go": true, "directory.go": true}
+	names := []string{"StatusRequestTimeout", "StatusMisdirectedRequest", "StatusTooManyRequests", "StatusServiceUnavailable"}
+	for _, pattern := range []string{"*.go", "../../platform/*.go"} {
+		files, err := filepath.Glob(pattern)
+		require.NoError(t, err)
+		require.NotEmpty(t, files)
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") || allowed[filepath.Base(file)] {
+				continue
+			}
+			parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
+			require.NoError(t, err)
+			ast.Inspect(parsed, func(n ast.Node) bool {
+				switch n := n.(type) {
+				case *ast.Ident:
+					assert.NotContains(t, names, n.Name, file)
+				case *ast.BasicLit:
+					assert.NotContains(t, []string{"408", "421", "429", "503"}, n.Value, file)
+				}
+				return true
+			})
+		}
+	}
+}
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -134,8 +134,10 @@
 		timer.Reset(s.nextWake(now, partialAt).Sub(now))
 		select {
 		case <-ctx.Done():
+			n := s.withdraw()
 			s.abandonAttempts(time.Now(), true)
-			return s.recordAnswer(Answer{Status: http.StatusServiceUnavailable, Cause: s.relay.disconnectCause()})
+			// A caller that has closed its end for writing only still reads this.
+			return s.recordAnswer(refuse(n, s.relay.disconnectCause(), 0))
 		case <-s.stopping:
 			s.handleStop()
 		case l := <-s.results:
