Refuse a merged answer only if no shard has run the query

What callers saw: 503, which promises that a query has not run, when too many shards were missing, while other shards had run it. And 504 at the deadline for a query that had been sent to no shard.

Cause: the refusal of a merged answer asked for no proof. The deadline of one did not look for it either.

Change: both ask withdraw. Without the proof the caller gets 502 with the same Retry-After, with it 503. NoAttemptRan now checks refusals of requests that may be repeated as well.

Failed before: TestMergedAnswerRefused, "expected: 502, actual: 503" and "expected: 503, actual: 504". Passes now, as do all tests of driftrelay and platform with -race -cpu 1.

--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -51,13 +51,14 @@
 	}
 }
 
-// refuseNotRun refuses the query, with the proof that it has not run.
+// refuseNotRun refuses the query. Without the proof that it has not run, the answer
+// says no more than when to try again.
 func (s *scatter) refuseNotRun(n NotRun, cause Cause) Answer {
 	mayHaveRun := false
 	for _, l := range s.requests {
 		mayHaveRun = mayHaveRun || l.mayHaveRun
 	}
-	s.relay.checker.NoAttemptRan(s.query.Request.ID, mayHaveRun && !s.query.Route.Idempotent)
+	s.relay.checker.NoAttemptRan(s.query.Request.ID, n.Proven() && mayHaveRun)
 	if cause == CauseStopping {
 		return refuse(n, cause, retryElsewhere)
 	}
@@ -81,14 +82,23 @@
 	case covered && (!now.Before(partialAt) || s.received+failed == shards || deadlinePassed):
 		return s.mergeParts(CausePartial), true
 	case !CoverageReached(shards-failed, shards, s.gather.CoverageFloor):
-		return s.refuseNotRun(NotRun{neverSent}, CauseNoUpstream), true
+		return s.refuseNotRun(s.withdraw(), CauseNoUpstream), true
 	case deadlinePassed:
-		return Answer{Status: http.StatusGatewayTimeout, Cause: s.endCause(false, true, CauseTimeout)}, true
+		return s.endGather(), true
 	default:
 		return Answer{}, false
 	}
 }
 
+// endGather returns the answer to a gather that has too few parts at its deadline.
+func (s *scatter) endGather() Answer {
+	cause := s.endCause(false, true, CauseTimeout)
+	if n := s.withdraw(); n.Proven() {
+		return s.refuseNotRun(n, cause)
+	}
+	return Answer{Status: http.StatusGatewayTimeout, Cause: cause}
+}
+
 // passThrough returns the reply of an upstream unchanged.
 func (s *scatter) passThrough(reply driftexchange.Reply, cause Cause) Answer {
 	reply.Header.Del(ForwardHeader)
--- a/internal/driftrelay/promise_test.go
+++ b/internal/driftrelay/promise_test.go
@@ -127,6 +127,50 @@
 	})
 }
 
+// TestMergedAnswerRefused guards against refusing a query as not run for want of
+// some shards, after others have run it.
+func TestMergedAnswerRefused(t *testing.T) {
+	t.Run("some shards have run it", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newSimulation(10, 4, rushServiceTime, rush())
+			w.forEachUpstream(func(i int, s *fakeUpstream) {
+				if i < 5*testDomains {
+					s.refusalRate = 1
+				}
+			})
+			r := w.relay()
+			a := sendQuery(t.Context(), r, rush())
+			assert.NotZero(t, w.runs()["q"])
+			assert.Equal(t, http.StatusBadGateway, a.Status)
+			assert.Positive(t, a.RetryAfter)
+			closeAll(r)
+		})
+	})
+	t.Run("no shard has run it", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newSimulation(10, 4, rushServiceTime, rush())
+			w.forEachUpstream(func(_ int, s *fakeUpstream) { s.unreachable = true })
+			r := w.relay()
+			a := sendQuery(t.Context(), r, rush())
+			assert.Equal(t, http.StatusServiceUnavailable, a.Status)
+			closeAll(r)
+		})
+	})
+	t.Run("the time ends before it was sent", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newSimulation(10, 4, rushServiceTime, rush())
+			for i := range w.view.Table.Config.Services {
+				w.view.Table.Config.Services[i].MaxConns = 0
+			}
+			w.view.Table = driftroute.NewTable(w.view.Table.Config)
+			r := w.relay()
+			a := sendQuery(t.Context(), r, rush())
+			assert.Equal(t, http.StatusServiceUnavailable, a.Status)
+			closeAll(r)
+		})
+	})
+}
+
 // TestRefusalsUntilTheEnd checks that a request that every upstream has refused is
 // refused as not run, also if the wait for another ends with the time for it.
 func TestRefusalsUntilTheEnd(t *testing.T) {
