--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -27,40 +27,43 @@
 		s.checkPart(l)
 		return s.passThrough(*l.part, CauseServed), true
 	case l.exhausted && l.failure != nil:
-		return s.passThrough(*l.failure, CausePassed), true
-	case (l.exhausted || deadlinePassed) && !l.mayHaveRun && l.sent == 0 && !anyAttemptSent(l):
-		return s.refuseNotRun(s.endCause(l.stopped, deadlinePassed, CauseNoUpstream)), true
-	case l.exhausted && !l.mayHaveRun:
-		return s.refuseNotRun(s.endCause(l.stopped, deadlinePassed, CauseRefused)), true
-	case l.exhausted:
-		return Answer{Status: http.StatusBadGateway, Cause: s.endCause(l.stopped, deadlinePassed, CauseUnknown)}, true
-	case deadlinePassed:
-		return Answer{Status: http.StatusGatewayTimeout, Cause: s.endCause(l.stopped, true, CauseTimeout)}, true
+		return s.passFailure(*l.failure), true
+	case l.exhausted || deadlinePassed:
+		return s.endSingle(l, deadlinePassed), true
 	default:
 		return Answer{}, false
 	}
 }
 
-func anyAttemptSent(l *shardRequest) bool {
-	for _, f := range l.inFlight {
-		if f.sent {
-			return true
-		}
+// endSingle returns the answer to a query for one upstream that has none, and for
+// which nothing more is done.
+func (s *scatter) endSingle(l *shardRequest, deadlinePassed bool) Answer {
+	n := s.withdraw()
+	switch {
+	case n.evidence == neverSent:
+		return s.refuseNotRun(n, s.endCause(l.stopped, deadlinePassed, CauseNoUpstream))
+	case n.Proven():
+		return s.refuseNotRun(n, s.endCause(l.stopped, deadlinePassed, CauseRefused))
+	case l.exhausted:
+		return Answer{Status: http.StatusBadGateway, Cause: s.endCause(l.stopped, deadlinePassed, CauseUnknown)}
+	default:
+		return Answer{Status: http.StatusGatewayTimeout, Cause: s.endCause(l.stopped, true, CauseTimeout)}
 	}
-	return false
 }
 
-func (s *scatter) refuseNotRun(cause Cause) Answer {
+// refuseNotRun refuses the query. Without the proof that it has not run, the answer
+// says no more than when to try again.
+func (s *scatter) refuseNotRun(n NotRun, cause Cause) Answer {
 	mayHaveRun := false
 	for _, l := range s.requests {
 		mayHaveRun = mayHaveRun || l.mayHaveRun
 	}
-	s.relay.checker.NoAttemptRan(s.query.Request.ID, mayHaveRun && !s.query.Route.Idempotent)
+	s.relay.checker.NoAttemptRan(s.query.Request.ID, n.Proven() && mayHaveRun)
 	if cause == CauseStopping {
-		return refuse(cause, retryElsewhere)
+		return refuse(n, cause, retryElsewhere)
 	}
 	// Another VM may have room before this one.
-	return refuse(cause, max(retrySoon, min(s.retryAfter, retryOverload)))
+	return refuse(n, cause, max(retrySoon, min(s.retryAfter, retryOverload)))
 }
 
 func (s *scatter) tryAnswerGather(now, partialAt time.Time) (Answer, bool) {
@@ -79,20 +82,40 @@
 	case covered && (!now.Before(partialAt) || s.received+failed == shards || deadlinePassed):
 		return s.mergeParts(CausePartial), true
 	case !CoverageReached(shards-failed, shards, s.gather.CoverageFloor):
-		return s.refuseNotRun(CauseNoUpstream), true
+		return s.refuseNotRun(s.withdraw(), CauseNoUpstream), true
 	case deadlinePassed:
-		return Answer{Status: http.StatusGatewayTimeout, Cause: s.endCause(false, true, CauseTimeout)}, true
+		return s.endGather(), true
 	default:
 		return Answer{}, false
 	}
 }
 
+// endGather returns the answer to a gather that has too few parts at its deadline.
+func (s *scatter) endGather() Answer {
+	cause := s.endCause(false, true, CauseTimeout)
+	if n := s.withdraw(); n.Proven() {
+		return s.refuseNotRun(n, cause)
+	}
+	return Answer{Status: http.StatusGatewayTimeout, Cause: cause}
+}
+
 // passThrough returns the reply of an upstream unchanged.
 func (s *scatter) passThrough(reply driftexchange.Reply, cause Cause) Answer {
 	reply.Header.Del(ForwardHeader)
 	return Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body, Cause: cause, heldBytes: len(reply.Body)}
 }
 
+// passFailure returns the failure of an upstream unchanged, unless that would
+// promise to the caller what the upstream has not promised.
+func (s *scatter) passFailure(reply driftexchange.Reply) Answer {
+	if IsPromise(reply.Status) && !s.query.Route.Idempotent {
+		return refuse(NotRun{}, CauseUnknown, 0)
+	}
+	a := s.passThrough(reply, CausePassed)
+	a.ofUpstream = true
+	return a
+}
+
 // mergeParts returns the answer merged from the parts received so far.
 func (s *scatter) mergeParts(cause Cause) Answer {
 	var bodies [][]byte
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -134,8 +134,10 @@
 		timer.Reset(s.nextWake(now, partialAt).Sub(now))
 		select {
 		case <-ctx.Done():
+			n := s.withdraw()
 			s.abandonAttempts(time.Now(), true)
-			return s.recordAnswer(Answer{Status: http.StatusServiceUnavailable, Cause: s.relay.disconnectCause()})
+			// A caller that has closed its end for writing only still reads this.
+			return s.recordAnswer(refuse(n, s.relay.disconnectCause(), 0))
 		case <-s.stopping:
 			s.handleStop()
 		case l := <-s.results:
@@ -196,7 +198,7 @@
 		return false
 	}
 	l.waiting = false
-	mayHaveRun := l.mayHaveRun || anyAttemptSent(l)
+	mayHaveRun := l.mayHaveRun || slices.ContainsFunc(l.inFlight, func(f *attempt) bool { return f.sent })
 	f, send := r.startAttempt(s.query, best.upstream, min(best.cost, s.query.Route.LatencyObjective), len(l.tried) > 0, func(f *attempt, result driftexchange.Result) {
 		s.results <- attemptResult{request: l, attempt: f, result: result}
 	})
