Refuse a request only once none of its attempts can still be sent

A request that may run once could be refused with 503 and run: when the deadline passed, or a stopping VM answered what was left, the scatter looked at its attempts without the lock, found none sent, and gave them up only afterwards. A connection that opened in between sent the request. Many requests are answered at the same moment in a stop, so that the window is met more often there.

Now unsent attempts are given up under the lock before the refusal is decided. TestRefusedRequestSentAtDeadline failed before: requests ran that were refused (4 of 4 runs without the race detector), and the race detector reported the read of the attempt. It passes, with and without it.

--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -28,7 +28,7 @@
 		return s.passThrough(*l.part, CauseServed), true
 	case l.exhausted && l.failure != nil:
 		return s.passThrough(*l.failure, CausePassed), true
-	case (l.exhausted || deadlinePassed) && !l.mayHaveRun && l.sent == 0 && !anyAttemptSent(l):
+	case (l.exhausted || deadlinePassed) && !l.mayHaveRun && l.sent == 0 && s.withdrawAttempts(l):
 		return s.refuseNotRun(s.endCause(l.stopped, deadlinePassed, CauseNoUpstream)), true
 	case l.exhausted && !l.mayHaveRun:
 		return s.refuseNotRun(s.endCause(l.stopped, deadlinePassed, CauseRefused)), true
@@ -41,6 +41,19 @@
 	}
 }
 
+// withdrawAttempts gives up the attempts in flight whose request has not been sent,
+// and reports whether none has.
+func (s *scatter) withdrawAttempts(l *shardRequest) bool {
+	s.relay.mu.Lock()
+	defer s.relay.mu.Unlock()
+	for _, f := range l.inFlight {
+		f.abandoned = f.abandoned || !f.sent
+	}
+	return !anyAttemptSent(l)
+}
+
+// anyAttemptSent reports whether the request was sent by an attempt in flight. The
+// caller holds the relay's lock.
 func anyAttemptSent(l *shardRequest) bool {
 	for _, f := range l.inFlight {
 		if f.sent {
