Promise nothing to a client that half-closes while its request runs

A client that closes only the sending side of its connection after a request got 503, the promise that the request has not run, while an upstream ran it, also a request that may run once. The standard server ends the request's context at the end of input, which the VM takes for a caller that has left.

The answer to a caller that has left is now 502 once anything may have run. Work at upstreams still ends at once, since a half-closed connection looks like a closed one. TestHalfClosedClientRefused failed before with 503 and passes.

--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -52,6 +52,18 @@
 	return !anyAttemptSent(l)
 }
 
+// answerDisconnected returns the answer to a caller whose connection has ended. One
+// that has closed only its sending side still reads it.
+func (s *scatter) answerDisconnected() Answer {
+	a := Answer{Status: http.StatusServiceUnavailable, Cause: s.relay.disconnectCause()}
+	for _, l := range s.requests {
+		if l.mayHaveRun || !s.withdrawAttempts(l) {
+			a.Status = http.StatusBadGateway
+		}
+	}
+	return a
+}
+
 // anyAttemptSent reports whether the request was sent by an attempt in flight. The
 // caller holds the relay's lock.
 func anyAttemptSent(l *shardRequest) bool {
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -135,7 +135,7 @@
 		select {
 		case <-ctx.Done():
 			s.abandonAttempts(time.Now(), true)
-			return s.recordAnswer(Answer{Status: http.StatusServiceUnavailable, Cause: s.relay.disconnectCause()})
+			return s.recordAnswer(s.answerDisconnected())
 		case <-s.stopping:
 			s.handleStop()
 		case l := <-s.results:
