Serve what may be repeated when all VMs stop together

When all VMs of a fleet stopped at the same time, or one stopped while the only other was still gone or starting, each refused requests that it could have served, and sent its callers to the others after 5 ms, which refused them too: a client spends its few attempts within milliseconds. The VM took any VM that was alive in the last ten seconds for one that serves, also those that were leaving or dead.

It now asks whether another VM serves callers: one that is alive, ready and not leaving. The relay's simulated fleets name the addresses of their entry VMs now, as real ones do.

--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -82,7 +82,7 @@
 	}
 	s.relay.checker.NoAttemptRan(s.query.Request.ID, mayHaveRun && !s.query.Route.Idempotent)
 	if cause == CauseStopping {
-		return refuse(cause, retryElsewhere)
+		return refuse(cause, s.relay.stopRetryAfter())
 	}
 	// Another VM may have room before this one.
 	return refuse(cause, max(retrySoon, min(s.retryAfter, retryOverload)))
--- a/internal/driftrelay/simulation_test.go
+++ b/internal/driftrelay/simulation_test.go
@@ -130,7 +130,11 @@
 	r := New(VM{Name: "vm-0", Domain: "domain-0"}, testHeaders, append([]Option{WithDialer(w.dial)}, opts...)...)
 	var others []VM
 	for i := 1; i < vms; i++ {
-		others = append(others, VM{Name: fmt.Sprintf("vm-%d", i), Domain: fmt.Sprintf("domain-%d", i%testDomains), Entry: i < entries})
+		vm := VM{Name: fmt.Sprintf("vm-%d", i), Domain: fmt.Sprintf("domain-%d", i%testDomains), Entry: i < entries}
+		if vm.Entry {
+			vm.Address = fmt.Sprintf("10.9.0.%d:7741", i)
+		}
+		others = append(others, vm)
 	}
 	r.SetVMs(true, others)
 	r.UpdateView(w.view)
--- a/internal/driftrelay/stop.go
+++ b/internal/driftrelay/stop.go
@@ -85,11 +85,10 @@
 }
 
 // fitsBeforeStop reports whether a request of the route that starts now ends before
-// the VM stops, if it does. A VM without others tries requests that may be repeated
-// all the same: no other could serve them. The caller holds the lock.
+// the VM stops, if it does. If no other VM serves callers, requests that may be
+// repeated are tried all the same. The caller holds the lock.
 func (r *Relay) fitsBeforeStop(route *driftroute.Route, deadline, now time.Time) bool {
-	alone := len(r.others) == 0
-	if r.stopAt.IsZero() || (alone && route.Idempotent) {
+	if r.stopAt.IsZero() || (!r.othersServe() && route.Idempotent) {
 		return true
 	}
 	longest := time.Duration(0)
@@ -99,6 +98,21 @@
 	return FitsBeforeStop(r.stopAt.Sub(now), deadline.Sub(now), longest)
 }
 
+// othersServe reports whether another VM serves callers: one that is alive, ready
+// and not leaving. The caller holds the lock.
+func (r *Relay) othersServe() bool { return len(r.peers) > 0 }
+
+// stopRetryAfter returns when a caller that is refused because the VM stops may try
+// again.
+func (r *Relay) stopRetryAfter() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.othersServe() {
+		return retryElsewhere
+	}
+	return retrySoon
+}
+
 // recordTime records how long a query took from its arrival to its answer, or until
 // it was given up.
 func (r *Relay) recordTime(q *Query, now time.Time) {
