Drain connections whose first byte arrives alone like all others

The first byte of a POST that arrived alone looked like the beginning of HTTP/2. The connection was then left to the standard server for its whole life, which may close it in a stop though its next request has just been read.

A connection is one of HTTP/2 only once all bytes by which those begin have arrived. TestStopCutOffRequestAfterSplitMethod failed before with an unexpected end of the connection.

--- a/internal/driftlisten/server.go
+++ b/internal/driftlisten/server.go
@@ -17,7 +17,6 @@
 	"context"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -160,21 +159,19 @@
 	// started is set once a part of the next request was read, and ahead if that was
 	// while the previous one was being served.
 	started, ahead bool
-	// first is set once anything was read, and http2 if that began like HTTP/2.
-	first, http2 bool
+	// begin holds the first bytes that were read, as many as tell HTTP/2 apart.
+	begin string
 }
 
-// http2Preface is how each connection of HTTP/2 begins.
-const http2Preface = "PRI * HTTP/2.0"
+// http2Begin is how each connection of HTTP/2, and none of HTTP/1, begins.
+const http2Begin = "PRI * HTTP/2.0"
 
 // Read implements net.Conn.
 func (c *conn) Read(buffer []byte) (n int, err error) {
 	n, err = c.Conn.Read(buffer)
 	if n > 0 {
 		c.mu.Lock()
-		if !c.first {
-			c.first, c.http2 = true, strings.HasPrefix(http2Preface, string(buffer[:min(n, len(http2Preface))]))
-		}
+		c.begin += string(buffer[:min(n, len(http2Begin)-len(c.begin))])
 		c.started = true
 		// While a handler runs, the standard server reads one byte ahead.
 		c.ahead = len(buffer) == 1
@@ -186,7 +183,7 @@
 func (c *conn) isHTTP2() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.http2
+	return c.begin == http2Begin
 }
 
 // CloseWrite closes the sending side, as the server does before it closes a
--- a/internal/driftlisten/server_test.go
+++ b/internal/driftlisten/server_test.go
@@ -227,3 +227,40 @@
 	}
 	require.NoError(t, <-drained)
 }
+
+// TestStopCutOffRequestAfterSplitMethod guards against taking a connection for HTTP/2
+// when the first byte of a POST arrives alone.
+func TestStopCutOffRequestAfterSplitMethod(t *testing.T) {
+	inner, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := slowReads{Listener: inner, delay: new(atomic.Int64), read: make(chan struct{}, 1)}
+	server := New(&http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+	})})
+	go func() { _ = server.Serve(listener) }()
+	client, err := (&net.Dialer{}).DialContext(t.Context(), "tcp4", inner.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = client.Close() }()
+	reader := bufio.NewReader(client)
+	send := func(parts ...string) {
+		for _, part := range parts {
+			_, err := io.WriteString(client, part)
+			require.NoError(t, err)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	assertAnswered := func() {
+		t.Helper()
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+	}
+	const rest = "OST / HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n\r\n"
+	send("P", rest)
+	assertAnswered()
+	listener.delay.Store(int64(100 * time.Millisecond))
+	send("P" + rest)
+	<-listener.read
+	require.NoError(t, server.Drain(t.Context()))
+	assertAnswered()
+}
