--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -60,7 +60,7 @@
 	}
 	s.relay.checker.NoAttemptRan(s.query.Request.ID, n.Proven() && mayHaveRun)
 	if cause == CauseStopping {
-		return refuse(n, cause, retryElsewhere)
+		return refuse(n, cause, s.relay.stopRetryAfter())
 	}
 	// Another VM may have room before this one.
 	return refuse(n, cause, max(retrySoon, min(s.retryAfter, retryOverload)))
