--- a/internal/driftdocument/field.go
+++ b/internal/driftdocument/field.go
@@ -81,6 +81,8 @@
 		return "printable ASCII characters"
 	case "ipport":
 		return "an IP number and a port, such as 127.0.0.1:7000"
+	case "endpoint", "endpoint4":
+		return "an IP number and a port above 0, such as 127.0.0.1:7000"
 	}
 	return f.Tag() + " " + f.Param()
 }
--- a/internal/driftdocument/validate.go
+++ b/internal/driftdocument/validate.go
@@ -12,12 +12,14 @@
 var validate = newValidator()
 
 // newValidator returns a validator that reports the JSON names of fields and
-// supports the ipport tag.
+// supports the tags ipport, endpoint and endpoint4.
 func newValidator() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(jsonName)
 	v.RegisterCustomTypeFunc(validatedDuration, Duration(0))
 	mustRegisterTag(v, "ipport", isIPPort)
+	mustRegisterTag(v, "endpoint", isEndpoint)
+	mustRegisterTag(v, "endpoint4", isEndpoint4)
 	return v
 }
 
@@ -43,3 +45,16 @@
 	_, err := netip.ParseAddrPort(level.Field().String())
 	return err == nil
 }
+
+// isEndpoint accepts an IP address and a port that can be dialled.
+func isEndpoint(level validator.FieldLevel) bool {
+	endpoint, err := netip.ParseAddrPort(level.Field().String())
+	ip := endpoint.Addr()
+	return err == nil && endpoint.Port() != 0 && !ip.IsUnspecified() && !ip.IsMulticast()
+}
+
+// isEndpoint4 accepts the endpoints of IPv4.
+func isEndpoint4(level validator.FieldLevel) bool {
+	endpoint, err := netip.ParseAddrPort(level.Field().String())
+	return err == nil && endpoint.Addr().Is4() && isEndpoint(level)
+}
