relay: an entry whose address answers 421 stays unused

Callers saw requests offered again and again to an address that had answered that it belongs to another upstream; each such request is taken off the retry budget.

Cause: a 421 removed the upstream until the next view. A view arrives with every change of any entry, and the entry that claims the address put it back in use.

Change: the relay keeps the entry that was found false, and passes it over until the entry changes, leaves, or 10 s have passed, since an upstream may start again at its address under its ID.

--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -94,6 +94,10 @@
 	listed := make(map[string]bool, len(view.Upstreams))
 	for _, u := range view.Upstreams {
 		listed[u.ID] = true
+		if r.isFalseClaim(u, now) {
+			continue
+		}
+		delete(r.falseClaims, u.ID)
 		e, ok := r.upstreams[u.ID]
 		if ok && e.Address == u.Address && e.Service == u.Service {
 			e.applyPublished(u, now)
@@ -108,6 +112,11 @@
 			e.removedAt = now
 		}
 	}
+	for id := range r.falseClaims {
+		if !listed[id] {
+			delete(r.falseClaims, id)
+		}
+	}
 	r.updateOutOfService(view.OutOfService, now)
 	r.rebuildIndex()
 }
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -47,7 +47,9 @@
 	mu        sync.Mutex
 	table     *driftroute.Table
 	upstreams map[string]*upstreamState
-	services  map[string][]*upstreamState
+	// falseClaims holds the entries that name the address of another upstream.
+	falseClaims map[string]falseClaim
+	services    map[string][]*upstreamState
 	// serviceDomains holds the failure domains with an upstream, by service.
 	serviceDomains map[string]map[string]bool
 	outSince       map[string]time.Time
@@ -127,7 +129,7 @@
 		checker: driftcheck.NewChecker(events), dialer: driftexchange.DialTCP,
 		roundRobin:    driftroute.NewWeightedRoundRobin(),
 		reportSuspect: func(string, time.Duration) {}, viewAge: func() time.Duration { return 0 },
-		upstreams: make(map[string]*upstreamState), services: make(map[string][]*upstreamState),
+		upstreams: make(map[string]*upstreamState), falseClaims: make(map[string]falseClaim), services: make(map[string][]*upstreamState),
 		outSince: make(map[string]time.Time), budgets: make(map[string]*Budget),
 		typicalTimes: make(map[string]time.Duration), sendRate: rateMeter{since: time.Now()},
 	}
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -125,7 +125,7 @@
 	e := f.upstream
 	switch {
 	case result.Misdirected:
-		e.removedAt = now.Add(-removedGrace)
+		r.recordFalseClaim(e, now)
 	case result.Refused:
 		e.markReachable()
 		e.recordOutcome(now, false, true)
--- a/internal/driftrelay/simulation_test.go
+++ b/internal/driftrelay/simulation_test.go
@@ -35,6 +35,8 @@
 	refusalRate, replyLossRate float64
 	// unreachable makes new connections hang.
 	unreachable bool
+	// misdirected makes it answer that the address is another upstream's.
+	misdirected bool
 	// handshake is how much longer the first request of a connection takes.
 	handshake time.Duration
 	// bodySize is the size of a reply's body.
@@ -196,10 +198,14 @@
 	s.mu.Lock()
 	s.arrived++
 	s.arrivals = append(s.arrivals, time.Now())
+	misdirected := s.misdirected
 	refused := s.rng.Float64() < s.refusalRate
 	lost := s.rng.Float64() < s.replyLossRate
 	work := time.Duration(float64(s.serviceTime) * s.slowdown * (0.6 + 0.8*s.rng.Float64()))
 	s.mu.Unlock()
+	if misdirected {
+		return writeReply(conn, "421 Misdirected Request", "", id, "")
+	}
 	if refused {
 		return writeReply(conn, "503 Service Unavailable", testHeaders.NotRun+": 1\r\n", id, "")
 	}
