Count an upstream as cold when it has started anew

An upstream that restarted under its ID twice and published the same cold period each time counted as warm after the second start: the entry's cold period was compared with the one before, its start was not.

A start that changes in the entry now begins the cold period anew. TestRestartKeptColdPeriod failed before: cold until the time of the first entry, not of the second.

--- a/internal/driftrelay/upstream.go
+++ b/internal/driftrelay/upstream.go
@@ -22,6 +22,8 @@
 	Leaving bool
 	// ColdPeriod is how long it stays cold after it was published.
 	ColdPeriod time.Duration
+	// StartedMs is when it started, in Unix milliseconds, 0 if unknown.
+	StartedMs int64
 }
 
 // View is the decoded state that the platform publishes.
@@ -116,7 +118,7 @@
 	if !u.Leaving {
 		e.leavingAt = time.Time{}
 	}
-	if u.ColdPeriod > 0 && u.ColdPeriod != e.ColdPeriod {
+	if u.ColdPeriod > 0 && (u.ColdPeriod != e.ColdPeriod || u.StartedMs != e.StartedMs) {
 		e.coldUntil = now.Add(u.ColdPeriod)
 	}
 	e.removedAt = time.Time{}
