Count an upstream as cold until it is proven that it has not restarted

Callers of upstreams that crashed and listened again while the platform was unavailable lost requests: each VM sent the restarted upstreams the load of warm ones, and they fell over. Only an entry of the platform made an upstream cold.

An upstream of a service with a published cold rate and cold period now counts as cold unless an open connection proves that it has not restarted: one that is older than the cold period, that has carried a health reply, or that a proven older one vouches for. Each VM knows this of its own connections, so no VM sends more than its part of the rate, whatever the others have heard. A VM whose part is used up sends one health request at a time, whose reply says for how long the upstream stays cold, so a false doubt costs one round trip.

--- a/internal/driftexchange/conn.go
+++ b/internal/driftexchange/conn.go
@@ -59,10 +59,11 @@
 
 // pending is the request whose reply the connection waits for.
 type pending struct {
-	request *http.Request
-	id      string
-	deliver func(Result)
-	written bool
+	request  *http.Request
+	id       string
+	unsigned bool
+	deliver  func(Result)
+	written  bool
 }
 
 // limitedConn reads at most a number of bytes from a connection.
@@ -155,7 +156,7 @@
 		return
 	}
 	p := &pending{
-		request: &http.Request{Method: r.Method}, id: r.ID, deliver: deliver,
+		request: &http.Request{Method: r.Method}, id: r.ID, unsigned: r.Unsigned, deliver: deliver,
 		written: len(r.Body) <= largeBodySize,
 	}
 	c.mu.Lock()
@@ -299,7 +300,7 @@
 	keep = keep && p.written && c.reader.Buffered() == 0 && !c.broken
 	c.broken = c.broken || !keep
 	c.mu.Unlock()
-	result := classifyReply(reply, c.headers)
+	result := classifyReply(reply, c.headers, p.unsigned)
 	taken := c.takePending()
 	if _, done := result.(Done); !done || taken == nil {
 		c.memory.Release(len(reply.Body))
--- a/internal/driftexchange/exchange.go
+++ b/internal/driftexchange/exchange.go
@@ -48,6 +48,9 @@
 	// RateLimit carries the requests a second that the upstream accepts from all
 	// callers together. Replies have it while the upstream limits its rate.
 	RateLimit string
+	// Instance and ColdLeft are set on replies to health requests: the incarnation
+	// of the upstream, and for how many milliseconds it stays cold.
+	Instance, ColdLeft string
 	// PartSignatures lists the signatures of the merged shard replies.
 	PartSignatures string
 	// MissingParts carries the number of shards that an answer lacks.
@@ -63,6 +66,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Unsigned is set if a reply without signature is valid, as to a health request.
+	Unsigned bool
 }
 
 // Reply is a complete reply of an upstream.
@@ -113,14 +118,15 @@
 	ErrMemory      = errors.ConstError("memory for replies used up")
 )
 
-// classifyReply returns the result that a reply means for its request.
-func classifyReply(r Reply, h Headers) Result {
+// classifyReply returns the result that a reply means for its request. Unsigned is
+// set if the reply needs no signature.
+func classifyReply(r Reply, h Headers, unsigned bool) Result {
 	switch {
 	case r.Status == http.StatusMisdirectedRequest:
 		return NotRun{Misdirected: true, Refused: true, Header: r.Header, Err: ErrRefused}
 	case r.Header.Get(h.NotRun) != "":
 		return NotRun{Refused: true, Header: r.Header, Err: ErrRefused}
-	case r.Status < http.StatusMultipleChoices && r.Header.Get(h.Signature) == "":
+	case !unsigned && r.Status < http.StatusMultipleChoices && r.Header.Get(h.Signature) == "":
 		return Unknown{Header: r.Header, Err: ErrNoSignature}
 	default:
 		return Done{Reply: r}
--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -291,7 +291,8 @@
 		if len(e.idleConns) == 0 && e.openConns >= r.maxConns(e, published.MaxConns) {
 			continue
 		}
-		if now.Before(e.coldUntil) && !r.allowsColdRequest(e, published, now) {
+		if e.countsAsCold(published, now) && !r.allowsColdRequest(e, published, now) {
+			r.probeIfUnproven(e, published, now)
 			continue
 		}
 		if !r.withinRateLimit(e, now) {
@@ -382,17 +383,20 @@
 		headers = forwardHeaders(headers)
 	}
 	c, err := driftexchange.Dial(bounded, r.dialer, e.Address, headers, driftexchange.WithMemory(r.memory))
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if err != nil {
-		r.mu.Lock()
 		e.openConns--
-		r.mu.Unlock()
+		e.doubtConns(time.Now())
 		return nil, err
 	}
+	e.established[c] = &connProof{acceptedAt: time.Now()}
 	go func() {
 		<-c.Closed()
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		e.openConns--
+		delete(e.established, c)
 		if i := slices.Index(e.idleConns, c); i >= 0 {
 			e.idleConns = slices.Delete(e.idleConns, i, i+1)
 		}
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -27,7 +27,7 @@
 	r.checker.NotLeaving(q.Request.ID, e.ID, e.leavingAt, now)
 	r.checker.NotLeaving(q.Request.ID, e.ID, e.removedAt, now)
 	r.checker.NotMarkedOut(q.Request.ID, e.ID, r.outSince[e.Domain], now)
-	if now.Before(e.coldUntil) {
+	if service, _ := q.Table.Service(e.Service); e.countsAsCold(service, now) {
 		e.coldSent = addToBuckets(e.coldSent, now, time.Second)
 		r.checkCold(q, e, now)
 	}
@@ -106,6 +106,7 @@
 	case driftexchange.Done:
 		r.holdReply(q, f, result.Reply)
 		e.markReachable()
+		e.proveConns(f.conn, f.started)
 		failed := result.Reply.Status >= minFailureStatus
 		e.recordOutcome(now, failed, false)
 		if !failed {
@@ -145,6 +146,7 @@
 		e.removedAt = now.Add(-removedGrace)
 	case result.Refused:
 		e.markReachable()
+		e.proveConns(f.conn, f.started)
 		e.recordOutcome(now, false, true)
 	case !errors.Is(result.Err, errAbandoned):
 		e.markUnreachable(now)
--- a/internal/driftrelay/simulation_test.go
+++ b/internal/driftrelay/simulation_test.go
@@ -43,16 +43,21 @@
 	// limitUntil.
 	rateLimit             float64
 	limitFrom, limitUntil time.Time
-	slots                 chan struct{}
-	rng                   *rand.Rand
+	// startedAt is when it was last restarted, and coldUntil when it is warm.
+	startedAt, coldUntil time.Time
+	slots                chan struct{}
+	rng                  *rand.Rand
 
 	mu           sync.Mutex
 	runs         map[string]int
 	arrived      int
 	arrivals     []time.Time
+	down         bool
+	accepted     []net.Conn
 	conns        int
 	maxConns     int
 	failedWrites int
+	probes       int
 }
 
 // simulation is a set of fake upstreams by address.
@@ -63,7 +68,7 @@
 
 var testHeaders = driftexchange.Headers{
 	Request: "X-Id", Deadline: "X-Left", Expect: "X-Expect", Signature: "X-Proof", NotRun: "X-Not-Run",
-	Load: "X-Load", RateLimit: "X-Limit", PartSignatures: "X-Parts", MissingParts: "X-Missing",
+	Load: "X-Load", RateLimit: "X-Limit", Instance: "X-Instance", ColdLeft: "X-Cold", PartSignatures: "X-Parts", MissingParts: "X-Missing",
 }
 
 const (
@@ -148,6 +153,11 @@
 	}
 	near, far := net.Pipe()
 	s.mu.Lock()
+	if s.down {
+		s.mu.Unlock()
+		return nil, errors.ConstError("connection refused")
+	}
+	s.accepted = append(s.accepted, far)
 	s.conns++
 	s.maxConns = max(s.maxConns, s.conns)
 	s.mu.Unlock()
@@ -182,6 +192,12 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
+		if request.URL.Path == healthTarget {
+			if !s.answerHealth(conn) {
+				return
+			}
+			continue
+		}
 		if first {
 			time.Sleep(s.handshake)
 		}
@@ -221,6 +237,48 @@
 	return ok
 }
 
+// healthTarget is the target of health requests.
+const healthTarget = "/health"
+
+// answerHealth answers a health request once a slot is free.
+func (s *fakeUpstream) answerHealth(conn net.Conn) bool {
+	s.slots <- struct{}{}
+	<-s.slots
+	s.mu.Lock()
+	s.probes++
+	coldLeft := max(0, time.Until(s.coldUntil).Milliseconds())
+	s.mu.Unlock()
+	return writeReply(conn, "200 OK", fmt.Sprintf("%s: %s\r\n%s: %d\r\n", testHeaders.Instance, s.name, testHeaders.ColdLeft, coldLeft), "", "")
+}
+
+// crash closes all connections and refuses new ones.
+func (s *fakeUpstream) crash() {
+	s.mu.Lock()
+	s.down = true
+	s.mu.Unlock()
+	s.closeConns()
+}
+
+// closeConns closes all connections.
+func (s *fakeUpstream) closeConns() {
+	s.mu.Lock()
+	accepted := s.accepted
+	s.accepted = nil
+	s.mu.Unlock()
+	for _, c := range accepted {
+		_ = c.Close()
+	}
+}
+
+// restart makes the upstream accept connections, cold for the given time.
+func (s *fakeUpstream) restart(coldFor time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = false
+	s.startedAt = time.Now()
+	s.coldUntil = s.startedAt.Add(coldFor)
+}
+
 // limitHeader returns the header that names the rate limit, if there is one now.
 func (s *fakeUpstream) limitHeader() string {
 	if now := time.Now(); now.Before(s.limitFrom) || !now.Before(s.limitUntil) {
--- a/internal/driftrelay/upstream.go
+++ b/internal/driftrelay/upstream.go
@@ -68,10 +68,14 @@
 	leavingAt time.Time
 	removedAt time.Time
 	coldUntil time.Time
+	probes    probes
 
 	idleConns []*driftexchange.Conn
-	openConns int
-	inFlight  []*attempt
+	// openConns counts the connections that are open or being opened, established
+	// holds those that are open.
+	openConns   int
+	established map[*driftexchange.Conn]*connProof
+	inFlight    []*attempt
 
 	slowdown     float64
 	slowdownAt   time.Time
@@ -103,7 +107,7 @@
 }
 
 func newUpstreamState(u Upstream, now time.Time) *upstreamState {
-	e := &upstreamState{Upstream: u, slowdown: 1}
+	e := &upstreamState{Upstream: u, slowdown: 1, established: make(map[*driftexchange.Conn]*connProof)}
 	if u.ColdPeriod > 0 {
 		e.coldUntil = now.Add(u.ColdPeriod)
 	}
--- a/internal/driftroute/route.go
+++ b/internal/driftroute/route.go
@@ -89,6 +89,10 @@
 	// ColdRate is the number of requests per second that a cold upstream can take
 	// from all VMs together, 0 if no limit is published.
 	ColdRate float64
+	// ColdPeriod is how long an upstream is cold after it has started.
+	ColdPeriod time.Duration
+	// HealthPath is the target of health requests, empty if there is none.
+	HealthPath string
 }
 
 // Limits are the limits on the size and timing of callers' requests.
