--- a/internal/driftrelay/upstream.go
+++ b/internal/driftrelay/upstream.go
@@ -22,6 +22,8 @@
 	Leaving bool
 	// ColdPeriod is how long it stays cold after it was published.
 	ColdPeriod time.Duration
+	// StartedMs is when it started, in Unix milliseconds, 0 if unknown.
+	StartedMs int64
 }
 
 // View is the decoded state that the platform publishes.
@@ -66,10 +68,14 @@
 	leavingAt time.Time
 	removedAt time.Time
 	coldUntil time.Time
+	probes    probes
 
 	idleConns []*driftexchange.Conn
-	openConns int
-	inFlight  []*attempt
+	// openConns counts the connections that are open or being opened, established
+	// holds those that are open.
+	openConns   int
+	established map[*driftexchange.Conn]*connProof
+	inFlight    []*attempt
 
 	slowdown     float64
 	slowdownAt   time.Time
@@ -101,7 +107,7 @@
 }
 
 func newUpstreamState(u Upstream, now time.Time) *upstreamState {
-	e := &upstreamState{Upstream: u, slowdown: 1}
+	e := &upstreamState{Upstream: u, slowdown: 1, established: make(map[*driftexchange.Conn]*connProof)}
 	if u.ColdPeriod > 0 {
 		e.coldUntil = now.Add(u.ColdPeriod)
 	}
@@ -116,7 +122,7 @@
 	if !u.Leaving {
 		e.leavingAt = time.Time{}
 	}
-	if u.ColdPeriod > 0 && u.ColdPeriod != e.ColdPeriod {
+	if u.ColdPeriod > 0 && (u.ColdPeriod != e.ColdPeriod || u.StartedMs != e.StartedMs) {
 		e.coldUntil = now.Add(u.ColdPeriod)
 	}
 	e.removedAt = time.Time{}
