Read the settings file again while a VM runs

Clients saw each VM's directory name that VM only, and a cold upstream got the cold rate once from each VM (FAILBACK): VMs whose seeds were stale when they started stayed alone for the life of their processes, although their settings files were right 3 s later.

Cause: a reload read the settings file, checked it and dropped it; the seeds were given to the gossip once. Without a signal the file was never read again. The class: an input that may be wrong at the start is read only at the start.

Now the file is read on SIGHUP and once a second, by content, as a clock that is set back may give a new file an old time. A file that is missing or not valid changes nothing and is recorded once (event 146).

--- a/internal/driftevent/catalogue.go
+++ b/internal/driftevent/catalogue.go
@@ -29,6 +29,7 @@
 	EntryIgnored      Code = 143
 	ChangesApplied    Code = 144
 	PlatformReverted  Code = 145
+	SettingsRefused   Code = 146
 	QueryStarted      Code = 200
 	QueryAnswered     Code = 201
 	QueryRefused      Code = 202
@@ -101,6 +102,7 @@
 	{EntryIgnored, "entry ignored", severityWarning},
 	{ChangesApplied, "changes taken", severityInfo},
 	{PlatformReverted, "platform reverted", severityWarning},
+	{SettingsRefused, "settings refused", severityError},
 	{QueryStarted, "query started", severityTrace},
 	{QueryAnswered, "query answered", severityTrace},
 	{QueryRefused, "query refused", severityTrace},
--- a/internal/driftgossip/gossip.go
+++ b/internal/driftgossip/gossip.go
@@ -278,6 +278,17 @@
 	return known
 }
 
+// SetSeeds replaces the seeds, which are UDP addresses.
+func (f *Fleet) SetSeeds(seeds []string) {
+	f.mu.Lock()
+	changed := !slices.Equal(f.seeds, seeds)
+	f.seeds = seeds
+	f.mu.Unlock()
+	if changed {
+		f.requestRound()
+	}
+}
+
 // IsPlatformReader implements driftstate.Fleet.
 func (f *Fleet) IsPlatformReader() bool {
 	f.mu.Lock()
