Use a part of the fleet's limits only before others are met

Three such VMs sent a cold upstream 30 requests in a second, 20 allowed.

Cause: the number of VMs that are known was taken for the number of VMs. The class: what is not known is counted as not there.

Which part such a VM uses is now a decision of its own, driftshare.Unmet: a VM whose seeds name others, and which has heard of none since it started, divides limits as one of twelve VMs, and uses at least one unit of each, so that one VM alone serves. A VM whose seeds name no other is the whole fleet. A fleet of more than twelve VMs that have all met nobody still goes over; that state lasts until the seeds are right, since they are read again.

--- a/internal/driftgossip/gossip.go
+++ b/internal/driftgossip/gossip.go
@@ -137,7 +137,9 @@
 	introductionLimiter *rate.Limiter
 	referralLimiter     *rate.Limiter
 
-	mu                 sync.Mutex
+	mu sync.Mutex
+	// met is set once a datagram of another VM has arrived.
+	met                bool
 	table              *memberTable
 	heartbeat          uint64
 	leaving            bool
@@ -265,7 +267,7 @@
 
 // KnownVMs returns how many VMs limits of the whole fleet are divided among. A
 // VM that is not reached counts for an hour, and a VM that has just started goes
-// by what the others know.
+// by what the others know. One that has met no other goes by driftshare.UnmetVMs.
 func (f *Fleet) KnownVMs() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -275,9 +277,22 @@
 			known = max(known, int(m.Known))
 		}
 	}
+	if f.unmet() {
+		known = driftshare.UnmetVMs(known)
+	}
 	return known
 }
 
+// Unmet reports whether there may be other VMs although this one has met none.
+func (f *Fleet) Unmet() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.unmet()
+}
+
+// unmet is Unmet for callers that hold the lock.
+func (f *Fleet) unmet() bool { return driftshare.Unmet(f.met, len(f.seeds)) }
+
 // SetSeeds replaces the seeds, which are UDP addresses.
 func (f *Fleet) SetSeeds(seeds []string) {
 	f.mu.Lock()
--- a/internal/driftgossip/receive.go
+++ b/internal/driftgossip/receive.go
@@ -42,6 +42,7 @@
 		return
 	}
 	f.mu.Lock()
+	f.met = true
 	held, known := f.table.members[sender.GetName()]
 	returned := f.table.hear(sender.GetDomain(), now)
 	f.table.merge(sender, now, true)
--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -76,6 +76,9 @@
 		owners[i] = owner(near, vm)
 	}
 	units := driftshare.Units(total, e.ID, owner(near, r.self), owners)
+	if r.unmet {
+		units = driftshare.UnmetUnits(total)
+	}
 	*share = unitShare{generation: r.generation, total: total, units: units}
 	return units
 }
@@ -220,6 +223,17 @@
 	}
 }
 
+// SetUnmet sets whether there may be VMs that this one has not met. Until then it
+// uses only a part of what upstreams accept.
+func (r *Relay) SetUnmet(unmet bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.unmet != unmet {
+		r.generation++
+		r.unmet = unmet
+	}
+}
+
 // SendRate returns how many attempts this VM sends to upstreams per second.
 func (r *Relay) SendRate() float64 {
 	r.mu.Lock()
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -54,6 +54,8 @@
 	others         []VM
 	// otherEntries are those of others that are entry VMs.
 	otherEntries []VM
+	// unmet is set while there may be VMs that this one has not met.
+	unmet bool
 	// generation counts changes of the VMs and of the upstreams.
 	generation   uint64
 	peers        []*upstreamState
