Keep the mode of the gossip when a failure domain is lost

Directories named VMs of a lost zone again, up to 30 s after the loss (DRAIN counts such answers from 7 s on), in fleets of more than 12 VMs of which 12 or fewer were left.

Cause: VMs notice the loss of a domain one after the other. The first that forgot its VMs counted 12 or fewer, went over to the full mesh, in which no VM judges whether a domain can be reached, and told the others as their gateway that none was unreached. These counted the lost VMs as alive, and answered its reports of their deaths with newer heartbeats. The class: VMs choose by a number on which they do not agree how they agree on it.

VMs that died within the last minute now count in that number, so that the mode changes when the loss is long settled, and only entries of the dead differ.

The other tests of the package passed.

--- a/internal/driftgossip/member.go
+++ b/internal/driftgossip/member.go
@@ -66,8 +66,6 @@
 	// rings holds the VMs of each failure domain that are alive, including this
 	// one, in an order that is the same on all VMs. It is nil after a change.
 	rings map[string][]Member
-	// aliveCount is the number of VMs in rings.
-	aliveCount int
 	// version grows with each change of a member that others are told of.
 	version uint64
 	domains domainTable
--- a/internal/driftgossip/ring.go
+++ b/internal/driftgossip/ring.go
@@ -24,11 +24,9 @@
 	t.rings = map[string][]Member{
 		t.self.Domain: {{Name: t.self.Name, Domain: t.self.Domain, Address: t.self.Address, rank: xxhash.Sum64String(t.self.Name)}},
 	}
-	t.aliveCount = 1
 	for _, m := range t.members {
 		if !m.Dead {
 			t.rings[m.Domain] = append(t.rings[m.Domain], m)
-			t.aliveCount++
 		}
 	}
 	for _, ring := range t.rings {
@@ -39,11 +37,10 @@
 	return t.rings
 }
 
-// fullMesh reports whether every VM sends heartbeats to all others.
-func (t *memberTable) fullMesh() bool {
-	t.domainRings()
-	return t.aliveCount <= fullMeshSize
-}
+// fullMesh reports whether every VM sends heartbeats to all others. VMs that died of
+// late count: VMs notice the loss of a domain one after the other, and have to agree
+// on who judges whether it can be reached.
+func (t *memberTable) fullMesh() bool { return 1+len(t.members) <= fullMeshSize }
 
 // settledMesh reports whether the fleet is known to be a small one. A VM that
 // has just started does not know of most others.
