Abandon an attempt, not its connection

When a query was answered or its caller left, the connections of its attempts in flight were expired or closed. An attempt whose result had not been handled, such as the late reply of one whose hedge had won a part of a larger query, still counted as in flight, although its connection was in the pool again and carried another caller's request. That one was cut and, if it may run once only, answered 502.

Cause: an attempt was named by its connection, which outlives it. The class: a handle that is given on goes on being used by the one who gave it.

An exchange is now named by a value of its own. Abort and Expire have an effect only while the connection waits for the reply of that exchange, decided under the connection's lock; the deadline of an exchange ends with it, under the same lock. An attempt that is abandoned before it is sent is not sent, and no longer counts as an unreachable upstream.

--- a/internal/driftexchange/conn.go
+++ b/internal/driftexchange/conn.go
@@ -59,10 +59,11 @@
 
 // pending is the request whose reply the connection waits for.
 type pending struct {
-	request *http.Request
-	id      string
-	deliver func(Result)
-	written bool
+	exchange *Exchange
+	request  *http.Request
+	id       string
+	deliver  func(Result)
+	written  bool
 }
 
 // limitedConn reads at most a number of bytes from a connection.
@@ -144,10 +145,59 @@
 	_ = c.net.Close()
 }
 
+// Exchange is one request on a connection, which may carry others after it. It is
+// safe for concurrent use.
+type Exchange struct {
+	conn *Conn
+	// aborted is set by Abort. It is guarded by the connection's lock.
+	aborted bool
+}
+
+// NewExchange returns an exchange that has not begun.
+func (c *Conn) NewExchange() *Exchange { return &Exchange{conn: c} }
+
+// Send is Conn.Send for the request of this exchange. It is called at most once.
+func (x *Exchange) Send(r *Request, expect string, deadline time.Time, deliver func(Result)) {
+	x.conn.send(x, r, expect, deadline, deliver)
+}
+
+// Abort ends the exchange at once: a request that was sent by closing the
+// connection, one that was not by not sending it. It has no effect after the result.
+func (x *Exchange) Abort() {
+	x.conn.mu.Lock()
+	x.aborted = true
+	pending := x.isPending()
+	x.conn.broken = x.conn.broken || pending
+	x.conn.mu.Unlock()
+	if pending {
+		x.conn.Close()
+	}
+}
+
+// Expire ends the exchange at the given time if it has not ended by then. It has no
+// effect before Send.
+func (x *Exchange) Expire(at time.Time) {
+	x.conn.mu.Lock()
+	defer x.conn.mu.Unlock()
+	if x.isPending() {
+		_ = x.conn.net.SetReadDeadline(at)
+	}
+}
+
+// isPending reports whether the connection waits for the reply of this exchange. The
+// caller holds the connection's lock.
+func (x *Exchange) isPending() bool {
+	return x.conn.pending != nil && x.conn.pending.exchange == x
+}
+
 // Send writes the request and delivers its result once, from another goroutine
 // or before Send returns. The upstream is told how much time is left until the
 // deadline.
 func (c *Conn) Send(r *Request, expect string, deadline time.Time, deliver func(Result)) {
+	c.NewExchange().Send(r, expect, deadline, deliver)
+}
+
+func (c *Conn) send(x *Exchange, r *Request, expect string, deadline time.Time, deliver func(Result)) {
 	now := time.Now()
 	head, err := r.encode(c.headers, expect, deadline.Sub(now))
 	if err != nil {
@@ -155,18 +205,22 @@
 		return
 	}
 	p := &pending{
-		request: &http.Request{Method: r.Method}, id: r.ID, deliver: deliver,
+		exchange: x, request: &http.Request{Method: r.Method}, id: r.ID, deliver: deliver,
 		written: len(r.Body) <= largeBodySize,
 	}
 	c.mu.Lock()
-	if c.broken || c.pending != nil {
+	if c.broken || c.pending != nil || x.aborted {
+		err := ErrClosed
+		if x.aborted {
+			err = ErrAborted
+		}
 		c.mu.Unlock()
-		deliver(NotRun{Err: ErrClosed})
+		deliver(NotRun{Err: err})
 		return
 	}
 	c.pending = p
-	c.mu.Unlock()
 	_ = c.net.SetDeadline(deadline)
+	c.mu.Unlock()
 	if len(r.Body) > largeBodySize {
 		go c.writeLarge(p, head, r.Body)
 		return
@@ -192,22 +246,13 @@
 	}
 }
 
-// Expire ends the pending exchange at the given time if it has not ended by
-// then.
-func (c *Conn) Expire(at time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.pending != nil {
-		_ = c.net.SetReadDeadline(at)
-	}
-}
-
-// takePending clears the pending exchange and returns it.
+// takePending clears the pending exchange and its deadline, and returns it.
 func (c *Conn) takePending() *pending {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pending
 	c.pending = nil
+	_ = c.net.SetDeadline(time.Time{})
 	c.lastUsed = time.Now()
 	return p
 }
@@ -294,7 +339,6 @@
 // deliverReply delivers the reply and reports whether the connection stays
 // open.
 func (c *Conn) deliverReply(p *pending, reply Reply, keep bool) bool {
-	_ = c.net.SetDeadline(time.Time{})
 	c.mu.Lock()
 	keep = keep && p.written && c.reader.Buffered() == 0 && !c.broken
 	c.broken = c.broken || !keep
--- a/internal/driftexchange/exchange.go
+++ b/internal/driftexchange/exchange.go
@@ -110,6 +110,7 @@
 	ErrNoSignature = errors.ConstError("reply without signature")
 	ErrRefused     = errors.ConstError("refused by the upstream")
 	ErrTooLong     = errors.ConstError("reply too large")
+	ErrAborted     = errors.ConstError("attempt abandoned")
 	ErrMemory      = errors.ConstError("memory for replies used up")
 )
 
--- a/internal/driftexchange/exchange_test.go
+++ b/internal/driftexchange/exchange_test.go
@@ -218,3 +218,29 @@
 		assert.False(t, ok, text)
 	}
 }
+
+// TestAbortBeforeSend checks that an exchange that was aborted is not sent, and
+// leaves its connection to others.
+func TestAbortBeforeSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		conn, err := Dial(t.Context(), func(context.Context, string) (net.Conn, error) { return near, nil }, "a", testHeaders)
+		require.NoError(t, err)
+		go func() {
+			_, _ = http.ReadRequest(bufio.NewReader(far))
+			_, _ = io.WriteString(far, validReply)
+		}()
+		results := make(chan Result, 1)
+		send := func(x *Exchange) Result {
+			x.Send(&Request{ID: "a", Method: http.MethodGet, Target: "/x", Host: "h"}, "", time.Now().Add(time.Second), func(r Result) { results <- r })
+			return <-results
+		}
+		aborted := conn.NewExchange()
+		aborted.Abort()
+		assert.Equal(t, NotRun{Err: ErrAborted}, send(aborted))
+		assert.IsType(t, Done{}, send(conn.NewExchange()))
+		conn.Close()
+		_ = far.Close()
+		synctest.Wait()
+	})
+}
--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -132,7 +132,8 @@
 }
 
 // abandonAttempts gives up the attempts in flight: at once if the caller has
-// left, otherwise after a delay, so that connections can be reused.
+// left, otherwise after a delay, so that connections can be reused. Results that have
+// not been handled may still be among them, and their connections in use again.
 func (s *scatter) abandonAttempts(now time.Time, callerLeft bool) {
 	r := s.relay
 	r.mu.Lock()
@@ -141,11 +142,11 @@
 		for _, f := range l.inFlight {
 			f.abandoned = true
 			switch {
-			case f.conn == nil:
+			case f.exchange == nil:
 			case callerLeft:
-				go f.conn.Close()
+				go f.exchange.Abort()
 			default:
-				f.conn.Expire(now.Add(abandonedTimeout))
+				f.exchange.Expire(now.Add(abandonedTimeout))
 			}
 		}
 	}
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -32,7 +32,7 @@
 		r.checkCold(q, e, now)
 	}
 	if c := e.popIdleConn(now, !q.Route.Idempotent); c != nil {
-		f.conn, f.sent = c, true
+		f.conn, f.exchange, f.sent = c, c.NewExchange(), true
 		return f, func() { r.sendAttempt(f, q, deliver) }
 	}
 	e.openConns++
@@ -76,20 +76,18 @@
 	}
 	r.mu.Lock()
 	abandoned := f.abandoned
-	f.conn, f.sent = c, !abandoned
+	f.conn, f.exchange, f.sent = c, c.NewExchange(), !abandoned
 	r.mu.Unlock()
 	if abandoned {
-		r.finishAttempt(f, q, driftexchange.NotRun{Err: errAbandoned}, deliver)
+		r.finishAttempt(f, q, driftexchange.NotRun{Err: driftexchange.ErrAborted}, deliver)
 		return
 	}
 	r.sendAttempt(f, q, deliver)
 }
 
-const errAbandoned = errors.ConstError("attempt abandoned")
-
 func (r *Relay) sendAttempt(f *attempt, q *Query, deliver deliverFunc) {
 	deadline := q.Deadline.Add(-replyMargin)
-	f.conn.Send(q.Request, f.upstream.ID, deadline, func(result driftexchange.Result) {
+	f.exchange.Send(q.Request, f.upstream.ID, deadline, func(result driftexchange.Result) {
 		r.finishAttempt(f, q, result, deliver)
 	})
 }
@@ -146,7 +144,7 @@
 	case result.Refused:
 		e.markReachable()
 		e.recordOutcome(now, false, true)
-	case !errors.Is(result.Err, errAbandoned):
+	case !errors.Is(result.Err, driftexchange.ErrAborted):
 		e.markUnreachable(now)
 	}
 }
--- a/internal/driftrelay/upstream.go
+++ b/internal/driftrelay/upstream.go
@@ -91,6 +91,8 @@
 type attempt struct {
 	upstream *upstreamState
 	conn     *driftexchange.Conn
+	// exchange is that of the attempt on conn, which may carry others after it.
+	exchange *driftexchange.Exchange
 	started  time.Time
 	sent     bool
 	expected time.Duration
