--- a/internal/driftexchange/exchange.go
+++ b/internal/driftexchange/exchange.go
@@ -116,6 +116,7 @@
 	ErrRefused     = errors.ConstError("refused by the upstream")
 	ErrTooLong     = errors.ConstError("reply too large")
 	ErrMalformed   = errors.ConstError("malformed reply")
+	ErrAborted     = errors.ConstError("attempt abandoned")
 	ErrMemory      = errors.ConstError("memory for replies used up")
 )
 
