driftdocument, driftplatform: check documents and the VM list field by field

The own interface had the cause of the faults of the store's records: one entry of the VM list that could not be read failed the whole list, and one with fields missing named a VM without a name, a domain or an address, since nothing checked the tags. A document was accepted with a field given twice or in another case, with bytes that are no text (replaced silently), and with upstreams at port 0, 0.0.0.0 or a group address.

Documents, settings and queries pass the same check of names, text and nesting, and the addresses of upstreams must be ones that can be dialled. A document that is refused leaves the one before in force, as until now.

--- a/internal/driftcontrol/control.go
+++ b/internal/driftcontrol/control.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -315,9 +316,11 @@
 
 // readList reads the published VM list until ctx ends.
 func (c *Control) readList(ctx context.Context) {
+	refused := ""
 	for ctx.Err() == nil {
 		interval := c.listInterval
 		if r, ok := c.lister.List(ctx).(driftplatform.VMList); ok {
+			refused = c.recordRefusedVMs(r.Refused, refused)
 			interval = listInterval(c.listInterval, len(r.VMs))
 			c.sendMessage(ctx, listRead{vms: r.VMs})
 		}
@@ -325,6 +328,19 @@
 	}
 }
 
+// recordRefusedVMs records the entries of the VM list that name no VM, unless they
+// are those recorded before. It returns what was recorded last.
+func (c *Control) recordRefusedVMs(refused []error, recorded string) string {
+	if len(refused) == 0 {
+		return ""
+	}
+	detail := fmt.Sprintf("%d entries of the VM list, the first: %.200s", len(refused), refused[0])
+	if detail != recorded {
+		c.events.Record(driftevent.EntryIgnored, "", "vms", detail)
+	}
+	return detail
+}
+
 // Limits of the interval between two reads of the VM list.
 const (
 	vmsPerListInterval = 32
--- a/internal/driftdocument/document.go
+++ b/internal/driftdocument/document.go
@@ -79,7 +79,7 @@
 type Upstream struct {
 	Name           string   `json:"name" validate:"required,max=128"`
 	Domain         string   `json:"domain" validate:"required,max=64"`
-	Address        string   `json:"address" validate:"required,ipport"`
+	Address        string   `json:"address" validate:"required,endpoint"`
 	Slots          int      `json:"slots" validate:"min=1,max=10000"`
 	MaxConnections int      `json:"connections" validate:"min=1,max=100000"`
 	ConnectionCost Duration `json:"opening" validate:"min=0s,max=1m"`
@@ -197,9 +197,12 @@
 	return d, Validate(d)
 }
 
-// DecodeStrict decodes one JSON value and refuses unknown fields and trailing
-// data. The error satisfies errors.Is(err, errors.NotValid).
+// DecodeStrict decodes one JSON value and refuses unknown fields, fields that are
+// given twice, deep nesting and trailing data. The error satisfies errors.Is(err, errors.NotValid).
 func DecodeStrict(body []byte, target any) error {
+	if err := checkShape(body, reflect.TypeOf(target)); err != nil {
+		return err
+	}
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(target); err != nil {
--- a/internal/driftdocument/document_test.go
+++ b/internal/driftdocument/document_test.go
@@ -1,6 +1,7 @@
 package driftdocument
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -38,6 +39,29 @@
 	})
 }
 
+// TestOddDocumentTookForce guards against documents that two readers may read
+// differently, and addresses that cannot be dialled.
+func TestOddDocumentTookForce(t *testing.T) {
+	upstream := func(address string) string {
+		return `{"upstreams":[{"name":"a","domain":"d","address":"` + address + `","slots":1,"connections":1,"opening":"6ms"}]}`
+	}
+	deep := strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000)
+	for name, c := range map[string]struct{ key, body, mention string }{
+		"a field twice":             {"marks", `{"vms":["a"],"vms":[]}`, "given twice"},
+		"a field in another case":   {"marks", `{"VMs":["a"]}`, "in place of"},
+		"a nested field twice":      {"domains", `{"domains":[{"name":"a","name":"b"}]}`, "given twice"},
+		"bytes that are no text":    {"marks", "{\"vms\":[\"\xff\"]}", "UTF-8"},
+		"deep":                      {"marks", deep, "nesting"},
+		"deep where a name belongs": {"marks", `{"vms":` + deep + `}`, "nesting"},
+		"port 0":                    {"upstreams/counter", upstream("127.0.0.1:0"), "address"},
+		"port too large":            {"upstreams/counter", upstream("127.0.0.1:70000"), "address"},
+		"no address":                {"upstreams/counter", upstream("0.0.0.0:80"), "address"},
+		"a group":                   {"upstreams/counter", upstream("224.0.0.1:80"), "address"},
+	} {
+		t.Run(name, func(t *testing.T) { assertInvalid(t, c.key, c.body, c.mention) })
+	}
+}
+
 func assertInvalid(t *testing.T, key, body, mention string) {
 	t.Helper()
 	_, err := Parse(key, []byte(body))
--- a/internal/driftplatform/http.go
+++ b/internal/driftplatform/http.go
@@ -10,6 +10,8 @@
 	"strconv"
 
 	"github.com/juju/errors"
+
+	"github.com/almonddrift/almonddrift/internal/driftdocument"
 )
 
 // Parts of the platform's protocol.
@@ -74,31 +76,46 @@
 
 // List implements Lister.
 func (p *HTTPPlatform) List(ctx context.Context) VMListResult {
-	vms, err := p.fetchVMs(ctx)
+	list, err := p.fetchVMs(ctx)
 	if err != nil {
 		return VMListUnavailable{Err: err}
 	}
-	return VMList{VMs: vms}
+	return list
 }
 
-func (p *HTTPPlatform) fetchVMs(ctx context.Context) (vms []ListedVM, err error) {
+func (p *HTTPPlatform) fetchVMs(ctx context.Context) (list VMList, err error) {
 	defer errors.DeferredAnnotatef(&err, "reading the VM list")
 	resp, err := p.get(ctx, "/v1/vms")
 	if err != nil {
-		return nil, err
+		return list, err
 	}
 	defer closeBody(resp)
 	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("status %d", resp.StatusCode)
+		return list, fmt.Errorf("status %d", resp.StatusCode)
 	}
 	body, err := readLimited(resp.Body)
 	if err != nil {
-		return nil, err
+		return list, err
 	}
-	if err := json.Unmarshal(body, &vms); err != nil {
-		return nil, err
+	return parseVMList(body)
+}
+
+// parseVMList decodes each entry for itself, so that one that another writer has
+// left does not hide the others.
+func parseVMList(body []byte) (list VMList, err error) {
+	var entries []json.RawMessage
+	if err := json.Unmarshal(body, &entries); err != nil {
+		return list, err
+	}
+	for _, entry := range entries {
+		var vm ListedVM
+		if err := driftdocument.DecodeRecord(entry, &vm); err != nil {
+			list.Refused = append(list.Refused, err)
+			continue
+		}
+		list.VMs = append(list.VMs, vm)
 	}
-	return vms, nil
+	return list, nil
 }
 
 func (p *HTTPPlatform) get(ctx context.Context, path string) (resp *http.Response, err error) {
--- a/internal/driftplatform/platform.go
+++ b/internal/driftplatform/platform.go
@@ -87,6 +87,8 @@
 // VMList holds the list.
 type VMList struct {
 	VMs []ListedVM
+	// Refused says what is wrong with the entries that name no VM.
+	Refused []error
 }
 
 // VMListUnavailable reports that the list could not be read.
