State in the answer to a forwarded request that it has not run

What callers saw: the refusal of one VM, while another could have served the request. And 502 for requests that may run once and were certainly not run, since the VM that was asked had no way to prove it to the VM that asks.

Cause: the header by which a VM would say so was read and never set.

Change: a refusal of a forwarded request has Drift-Hop-Not-Run: "unsent" or "refused". Its Retry-After is kept. Without the header nothing is proven. What upstreams send under these names is removed. A 421 is a promise only where the request named the upstream that it is meant for.

--- a/internal/driftexchange/exchange.go
+++ b/internal/driftexchange/exchange.go
@@ -117,7 +117,7 @@
 // classifyReply returns the result that a reply means for its request.
 func classifyReply(r Reply, h Headers) Result {
 	switch {
-	case r.Status == http.StatusMisdirectedRequest:
+	case r.Status == http.StatusMisdirectedRequest && h.Expect != "":
 		return NotRun{Misdirected: true, Refused: true, Header: r.Header, Err: ErrRefused}
 	case r.Header.Get(h.NotRun) != "":
 		return NotRun{Refused: true, Header: r.Header, Err: ErrRefused}
--- a/internal/driftexchange/exchange_test.go
+++ b/internal/driftexchange/exchange_test.go
@@ -218,3 +218,11 @@
 		assert.False(t, ok, text)
 	}
 }
+
+// TestMisdirectedWithoutExpectation guards against taking a 421 for the promise of
+// an upstream that was not told which one the request is meant for.
+func TestMisdirectedWithoutExpectation(t *testing.T) {
+	reply := Reply{Status: http.StatusMisdirectedRequest, Header: http.Header{}}
+	assert.IsType(t, NotRun{}, classifyReply(reply, testHeaders))
+	assert.IsType(t, Done{}, classifyReply(reply, Headers{NotRun: "X-Not-Run"}))
+}
--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -62,6 +62,9 @@
 	if cause == CauseStopping {
 		return refuse(n, cause, retryElsewhere)
 	}
+	if s.forwardRetryAfter > 0 {
+		return refuse(n, cause, s.forwardRetryAfter)
+	}
 	// Another VM may have room before this one.
 	return refuse(n, cause, max(retrySoon, min(s.retryAfter, retryOverload)))
 }
@@ -101,7 +104,9 @@
 
 // passThrough returns the reply of an upstream unchanged.
 func (s *scatter) passThrough(reply driftexchange.Reply, cause Cause) Answer {
-	reply.Header.Del(ForwardHeader)
+	for _, name := range []string{ForwardHeader, forwardNotRunHeader, forwardLoadHeader} {
+		reply.Header.Del(name)
+	}
 	return Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body, Cause: cause, heldBytes: len(reply.Body)}
 }
 
--- a/internal/driftrelay/forward.go
+++ b/internal/driftrelay/forward.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/almonddrift/almonddrift/internal/driftexchange"
@@ -13,8 +15,8 @@
 // connections to upstreams. Requests that still reach them, from callers that
 // use older addresses, are forwarded whole and in one message to an entry VM.
 // That VM is treated like an upstream of one more service: it is chosen by its
-// load and stalled requests, and another one is tried only if the request was
-// certainly not sent.
+// load and stalled requests, and another one is tried only if no upstream was sent
+// the request.
 
 const (
 	// forwardService is the service name under which other VMs are chosen. No
@@ -31,6 +33,49 @@
 // removed before the answer reaches the caller.
 const ForwardHeader = "Drift-Hop"
 
+// forwardNotRunHeader is set on answers to requests that have not run, and says
+// whether an upstream was sent the request. Its values are forwardUnsent and
+// forwardRefused.
+const forwardNotRunHeader = ForwardHeader + "-Not-Run"
+
+const forwardLoadHeader = ForwardHeader + "-Load"
+
+const (
+	forwardUnsent  = "unsent"
+	forwardRefused = "refused"
+)
+
+// MarkForwarded adds what the VM that has forwarded the request needs to know of
+// the answer.
+func (a Answer) MarkForwarded(header http.Header) {
+	header.Set(ForwardHeader, "1")
+	switch a.NotRun.evidence {
+	case neverSent:
+		header.Set(forwardNotRunHeader, forwardUnsent)
+	case alwaysRefused:
+		header.Set(forwardNotRunHeader, forwardRefused)
+	case noEvidence:
+		header.Del(forwardNotRunHeader)
+	}
+}
+
+// handleForwardRefusal takes over what another VM says in the refusal of a
+// forwarded request. If no upstream was sent it, another VM may be tried, for as
+// long as the request may wait for capacity. Otherwise the attempts that the route
+// allows are used up there.
+func (s *scatter) handleForwardRefusal(l *shardRequest, header http.Header, now time.Time) {
+	if seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64); err == nil && seconds > 0 {
+		s.forwardRetryAfter = time.Duration(seconds * float64(time.Second))
+	}
+	if header.Get(forwardNotRunHeader) != forwardUnsent {
+		return
+	}
+	l.sent--
+	if !now.Before(s.capacityWaitEnd()) {
+		l.exhausted = true
+	}
+}
+
 // ForwardSentAt returns when the caller sent a request that was forwarded by
 // another VM and arrived at the given time.
 func ForwardSentAt(arrived time.Time, clientDelay time.Duration) time.Time {
@@ -42,7 +87,7 @@
 func forwardHeaders(h driftexchange.Headers) driftexchange.Headers {
 	return driftexchange.Headers{
 		Request: h.Request, Deadline: h.Deadline, Signature: ForwardHeader,
-		NotRun: ForwardHeader + "-Not-Run", Load: ForwardHeader + "-Load",
+		NotRun: forwardNotRunHeader, Load: forwardLoadHeader,
 	}
 }
 
--- a/internal/driftrelay/forward_test.go
+++ b/internal/driftrelay/forward_test.go
@@ -27,8 +27,10 @@
 	// hangsOnDial makes new connections hang; losesReplies closes them after a
 	// request has run.
 	hangsOnDial, losesReplies bool
-	received                  atomic.Int64
-	callerLeft                atomic.Int64
+	// statesNotRun is not set for a VM of a version that did not state it.
+	statesNotRun bool
+	received     atomic.Int64
+	callerLeft   atomic.Int64
 }
 
 // TestLoadOfAnotherVM guards against taking the load of an upstream for that of the
@@ -101,6 +103,10 @@
 			response.Header = make(http.Header)
 		}
 		response.Header.Set(ForwardHeader, "1")
+		if vm.statesNotRun {
+			a.MarkForwarded(response.Header)
+			response.Header.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
+		}
 		_ = response.Write(conn)
 	}
 }
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -33,6 +33,9 @@
 	// retryAfter is when the first upstream whose rate limit is reached may get a
 	// request again, 0 if none is.
 	retryAfter time.Duration
+	// forwardRetryAfter is when the VM that has refused the forwarded request says
+	// that it may be sent again, 0 if none has.
+	forwardRetryAfter time.Duration
 }
 
 // shardRequest is the part of a query that goes to one service: one shard of a
@@ -269,8 +272,11 @@
 	case driftexchange.NotRun:
 		s.refused++
 		request.addNote(l.attempt, now, "not run: "+result.Err.Error())
+		if result.Refused && isForward(s.query.Route) {
+			s.handleForwardRefusal(request, result.Header, now)
+		}
 	}
-	if len(request.inFlight) == 0 {
+	if len(request.inFlight) == 0 && !request.exhausted {
 		s.retry(request, now)
 	}
 }
