--- a/internal/driftexchange/exchange.go
+++ b/internal/driftexchange/exchange.go
@@ -124,7 +124,7 @@
 // set if the reply needs no signature.
 func classifyReply(r Reply, h Headers, unsigned bool) Result {
 	switch {
-	case r.Status == http.StatusMisdirectedRequest:
+	case r.Status == http.StatusMisdirectedRequest && h.Expect != "":
 		return NotRun{Misdirected: true, Refused: true, Header: r.Header, Err: ErrRefused}
 	case r.Header.Get(h.NotRun) != "":
 		return NotRun{Refused: true, Header: r.Header, Err: ErrRefused}
