--- a/internal/driftrelay/stop.go
+++ b/internal/driftrelay/stop.go
@@ -85,7 +85,7 @@
 }
 
 // fitsBeforeStop reports whether a request of the route that starts now ends before
-// the VM stops, if it does. If no other VM serves callers, requests that may be
+// the VM stops, if it does. While no other VM serves callers, requests that may be
 // repeated are tried all the same. The caller holds the lock.
 func (r *Relay) fitsBeforeStop(route *driftroute.Route, deadline, now time.Time) bool {
 	if r.stopAt.IsZero() || (!r.othersServe() && route.Idempotent) {
