Catch SIGHUP from the first moment of a process to its exit

A SIGHUP in the first milliseconds of a process, or in the last ones of its exit after a drain, ended it as the default action of the signal.

Cause: the handler belonged to the loop that applies changes: it was set after the settings were read and the components built, and dropped when that loop ended. The class: a signal is caught for as long as there is something to do for it, and not for as long as it may come.

The command catches SIGHUP first of all, if it runs on the users' platform, and never lets go of it; one that comes early is handled once the process runs, one that comes late by nobody. What comes before main, such as the loading of the program, stays open: some milliseconds, not measured.

--- a/cmd/almonddrift/main.go
+++ b/cmd/almonddrift/main.go
@@ -14,6 +14,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/almonddrift/almonddrift/platform"
 )
 
 // Exit codes of every command.
@@ -44,6 +46,7 @@
 
 // run runs the command line and returns the exit code.
 func run() int {
+	reloads := platform.CatchReloads()
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	var c cli
@@ -52,7 +55,7 @@
 		kong.Description("A query tier that answers whole, truthfully and in time from many shards."),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 		kong.BindTo(ctx, (*context.Context)(nil)),
-		kong.Bind(newOutput()),
+		kong.Bind(newOutput(), reloads),
 	)
 	command, err := parser.Parse(os.Args[1:])
 	if err != nil {
--- a/cmd/almonddrift/serve.go
+++ b/cmd/almonddrift/serve.go
@@ -33,9 +33,9 @@
 }
 
 // Run implements the command.
-func (s *serveCommand) Run(ctx context.Context) error {
+func (s *serveCommand) Run(ctx context.Context, reloads platform.Reloads) error {
 	if path := os.Getenv(platform.SettingsVariable); path != "" && s.Settings == "" {
-		return runOnPlatform(ctx, path)
+		return runOnPlatform(ctx, path, reloads)
 	}
 	settings, err := driftsettings.Load(s.Settings, driftsettings.Settings{
 		Name: s.Name, Domain: s.Domain, Callers: s.Callers, Peers: s.Peers,
@@ -55,12 +55,12 @@
 }
 
 // runOnPlatform runs one VM with the settings file of the users' platform.
-func runOnPlatform(ctx context.Context, path string) error {
+func runOnPlatform(ctx context.Context, path string, reloads platform.Reloads) error {
 	settings, err := platform.Load(path)
 	if err != nil {
 		return err
 	}
-	process := platform.New(settings, path)
+	process := platform.New(settings, path, platform.WithReloads(reloads))
 	if err := process.Start(ctx); err != nil {
 		return err
 	}
