Count an upstream as cold for a moment longer than its health reply says

TestColdRestartTakenForWarm failed in 2 of 150 runs (26 requests in the last second while cold, 20 allowed): a health reply gives whole milliseconds, rounded down, so that all VMs sent what had waited in the last part of a millisecond. With a margin of 10 ms none of 200 runs of its cases failed.

--- a/internal/driftrelay/restart.go
+++ b/internal/driftrelay/restart.go
@@ -94,7 +94,10 @@
 
 // Timing of health requests.
 const (
-	probeTimeout  = time.Second
+	probeTimeout = time.Second
+	// coldMargin is how much longer an upstream counts as cold than its health reply
+	// says, as that is rounded to a millisecond and all VMs wait for the same moment.
+	coldMargin    = 10 * time.Millisecond
 	minProbeDelay = 100 * time.Millisecond
 	maxProbeDelay = time.Second
 )
@@ -182,7 +185,7 @@
 		e.proveConns(c, started)
 	}
 	if coldLeft > 0 {
-		e.coldUntil = now.Add(coldLeft)
+		e.coldUntil = now.Add(coldLeft + coldMargin)
 		r.events.Record(driftevent.UpstreamCooled, "", e.ID, "by its health reply, for "+coldLeft.String())
 	}
 	return true
