Admit requests of a stopping VM by those of their class that were answered

A VM that had served none of a class refused all of it.

Of classes that may be repeated only answered requests count, and one of which nothing is known is expected to meet its objective; what may run once is judged as before. TestStopRefusedClassAfterTimeout failed before.

--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -85,7 +85,7 @@
 	case covered && (!now.Before(partialAt) || s.received+failed == shards || deadlinePassed):
 		return s.mergeParts(CausePartial), true
 	case !CoverageReached(shards-failed, shards, s.gather.CoverageFloor):
-		return s.refuseNotRun(s.withdraw(), CauseNoUpstream), true
+		return s.refuseNotRun(s.withdraw(), s.endCause(s.anyStopped(), false, CauseNoUpstream)), true
 	case deadlinePassed:
 		return s.endGather(), true
 	default:
@@ -185,9 +185,7 @@
 func (s *scatter) recordAnswer(a Answer) Answer {
 	q := s.query
 	s.relay.releaseReplies(q, a)
-	if a.Cause != CauseStopping && a.Cause != CauseCutOff {
-		s.relay.recordTime(q, time.Now())
-	}
+	s.relay.recordTime(q, a.Cause, time.Now())
 	s.relay.metrics.observeAnswer(q.Route.Name, a.Cause, time.Since(q.Arrived))
 	code := driftevent.RequestServed
 	if a.Cause != CauseServed {
--- a/internal/driftrelay/stop.go
+++ b/internal/driftrelay/stop.go
@@ -1,6 +1,7 @@
 package driftrelay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/almonddrift/almonddrift/internal/driftroute"
@@ -86,7 +87,8 @@
 
 // fitsBeforeStop reports whether a request of the route that starts now ends before
 // the VM stops, if it does. While no other VM serves callers, requests that may be
-// repeated are tried all the same. The caller holds the lock.
+// repeated are tried all the same. A class of which nothing is known is expected to
+// meet its objective if its requests may be repeated. The caller holds the lock.
 func (r *Relay) fitsBeforeStop(route *driftroute.Route, deadline, now time.Time) bool {
 	if r.stopAt.IsZero() || (!r.othersServe() && route.Idempotent) {
 		return true
@@ -95,6 +97,9 @@
 	if m, ok := r.longest[typicalTimeKey(route)]; ok {
 		longest = m.at(now)
 	}
+	if longest == 0 && route.Idempotent {
+		longest = route.LatencyObjective
+	}
 	return FitsBeforeStop(r.stopAt.Sub(now), deadline.Sub(now), longest)
 }
 
@@ -114,8 +119,18 @@
 }
 
 // recordTime records how long a query took from its arrival to its answer, or until
-// it was given up.
-func (r *Relay) recordTime(q *Query, now time.Time) {
+// it was given up. Of a class that may be repeated, only those that were answered
+// count: one upstream that does not answer tells nothing of the others.
+func (r *Relay) recordTime(q *Query, cause Cause, now time.Time) {
+	switch cause {
+	case CauseStopping, CauseCutOff:
+		return
+	case CauseServed, CausePartial, CausePassed:
+	default:
+		if q.Route.Idempotent {
+			return
+		}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	key := typicalTimeKey(q.Route)
@@ -159,6 +174,11 @@
 	return false
 }
 
+// anyStopped reports whether an attempt was not made as the VM stops.
+func (s *scatter) anyStopped() bool {
+	return slices.ContainsFunc(s.requests, func(l *shardRequest) bool { return l.stopped })
+}
+
 // endCause returns the cause of the answer to a query for which nothing more is
 // done: the given one, unless that is because the VM stops. Stopped is set if an
 // attempt was not made for want of time.
