--- a/internal/driftdocument/record.go
+++ b/internal/driftdocument/record.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"reflect"
 	"strings"
+	"sync"
 	"unicode"
 	"unicode/utf8"
 
@@ -37,12 +38,27 @@
 	if !utf8.Valid(body) {
 		return errors.NotValidf("text that is not UTF-8")
 	}
-	s := shape{Decoder: json.NewDecoder(bytes.NewReader(body)), names: make(map[string]string)}
+	s := shape{Decoder: json.NewDecoder(bytes.NewReader(body)), names: fieldNames(target)}
 	s.UseNumber()
-	s.addNames(target)
 	return s.checkValue(0)
 }
 
+// namesByType caches the results of fieldNames.
+var namesByType sync.Map
+
+// fieldNames returns the names of all fields that a type contains, by their folded
+// form.
+func fieldNames(t reflect.Type) map[string]string {
+	if cached, ok := namesByType.Load(t); ok {
+		names, _ := cached.(map[string]string)
+		return names
+	}
+	names := make(map[string]string)
+	addNames(names, t)
+	namesByType.Store(t, names)
+	return names
+}
+
 // shape checks the nesting and the names of one JSON value.
 type shape struct {
 	*json.Decoder
@@ -50,17 +66,16 @@
 	names map[string]string
 }
 
-// addNames adds the names of all fields that a type contains.
-func (s *shape) addNames(t reflect.Type) {
+func addNames(names map[string]string, t reflect.Type) {
 	switch t.Kind() {
 	case reflect.Pointer, reflect.Slice, reflect.Array, reflect.Map:
-		s.addNames(t.Elem())
+		addNames(names, t.Elem())
 	case reflect.Struct:
 		for f := range t.Fields() {
 			if name := jsonName(f); name != "" && name != "-" {
-				s.names[fold(name)] = name
+				names[fold(name)] = name
 			}
-			s.addNames(f.Type)
+			addNames(names, f.Type)
 		}
 	default:
 	}
@@ -115,6 +130,9 @@
 
 // fold returns the form in which encoding/json compares names.
 func fold(name string) string {
+	if !strings.ContainsFunc(name, func(r rune) bool { return r > unicode.MaxASCII }) {
+		return strings.ToUpper(name)
+	}
 	return strings.Map(func(r rune) rune {
 		for {
 			next := unicode.SimpleFold(r)
