Take no refusal of another attempt for a promise

What callers saw, at the own interface: "not run" for a request that its upstream runs, if a refusal of an earlier request arrives late on the connection.

Cause: the attempt that a reply repeats was compared for answers only.

Change: a refusal that names another attempt is a failure of a request that was sent. One that names none counts as before.

Failed before: TestRefusalOfAnotherRequest for 409, 410, 429 and 503, which came as Refusal and Departure.

--- a/internal/driftupstream/http.go
+++ b/internal/driftupstream/http.go
@@ -103,7 +103,7 @@
 		return Failure{Sent: tracked.read.Load(), Reason: failureReason(ctx), Err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return parseReply(ctx, resp)
+	return parseReply(ctx, resp, r.Attempt)
 }
 
 func newSearchRequest(r driftshard.Request) SearchRequest {
@@ -121,7 +121,9 @@
 	return driftshard.ReasonUnreachable
 }
 
-func parseReply(ctx context.Context, resp *http.Response) Reply {
+// parseReply returns the reply to an attempt. A refusal that names another attempt
+// says nothing of this one.
+func parseReply(ctx context.Context, resp *http.Response, attempt string) Reply {
 	var f SearchReply
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
 	if err != nil {
@@ -130,6 +132,12 @@
 	if err := json.Unmarshal(body, &f); err != nil {
 		return Failure{Sent: true, Reason: driftshard.ReasonMalformed, Err: err}
 	}
+	if resp.StatusCode != http.StatusOK && f.Attempt != "" && f.Attempt != attempt {
+		return Failure{
+			Sent: true, Reason: driftshard.ReasonCrossed,
+			Err: fmt.Errorf("HTTP status %d for attempt %q", resp.StatusCode, f.Attempt),
+		}
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		return newAnswer(f)
