Pass on the length that a reply to HEAD states

What callers saw: "Content-Length: 0" for a HEAD request, whatever the upstream stated. The VM reported each such reply as truncated (CompleteMatchingReply).

Cause: the length of a reply was taken to be that of its body, also where the method leaves the body out.

--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -107,7 +107,11 @@
 	for _, name := range []string{ForwardHeader, forwardNotRunHeader, forwardLoadHeader} {
 		reply.Header.Del(name)
 	}
-	return Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body, Cause: cause, heldBytes: len(reply.Body)}
+	a := Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body, Cause: cause, heldBytes: len(reply.Body)}
+	if s.query.Request.Method == http.MethodHead {
+		a.Omitted = reply.ContentLength
+	}
+	return a
 }
 
 // passFailure returns the failure of an upstream unchanged, unless that would
@@ -150,7 +154,7 @@
 	checker, id := s.relay.checker, s.query.Request.ID
 	checker.OneSnapshot(id, uint64(s.query.Table.Config.Version), uint64(l.partAttempt.version))
 	announced, echoed := int(l.part.ContentLength), l.part.Header.Get(s.relay.headers.Request)
-	if announced < 0 {
+	if announced < 0 || s.query.Request.Method == http.MethodHead {
 		announced = len(l.part.Body)
 	}
 	if echoed == "" {
--- a/internal/driftrelay/promise_test.go
+++ b/internal/driftrelay/promise_test.go
@@ -18,6 +18,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/almonddrift/almonddrift/internal/driftcheck"
+	"github.com/almonddrift/almonddrift/internal/driftevent"
 	"github.com/almonddrift/almonddrift/internal/driftexchange"
 	"github.com/almonddrift/almonddrift/internal/driftroute"
 )
@@ -227,3 +229,20 @@
 		}
 	}
 }
+
+// TestHeadLengthIsNoTruncation guards against reporting the reply to a HEAD request,
+// which has a length and no body, as truncated.
+func TestHeadLengthIsNoTruncation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		events := driftevent.NewLog("vm-0", 1)
+		checker := driftcheck.NewChecker(events)
+		w := newSimulation(1, 2, 10*time.Millisecond, nonIdempotent())
+		r := w.relay(WithChecks(events, checker))
+		a := r.Serve(t.Context(), &driftexchange.Request{ID: "q", Method: http.MethodHead, Target: "/once/", Host: "h"},
+			"/once/", time.Now(), 0)
+		assert.Equal(t, http.StatusOK, a.Status)
+		assert.Positive(t, a.Omitted)
+		assert.Zero(t, checker.Total())
+		closeAll(r)
+	})
+}
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -157,6 +157,9 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Omitted is the length in bytes of the body that the reply to a HEAD request
+	// leaves out, -1 if unknown.
+	Omitted int64
 	// Cause is the reason for this answer.
 	Cause Cause
 	// RetryAfter is when the caller may try again, 0 if unspecified.
