Decide under the lock that a request was not sent

A caller could be told that its request had not run, at the very moment at which it was sent: the connection that an attempt waited for was opened between the look at the attempt and the attempt's end.

Cause: attempts are marked as sent by the goroutine that opens their connection, under the relay's lock, and the answer looked at the mark without it and did nothing to keep it as it was. The class: a decision on a state that others may still change.

The look and the end of the unsent attempts are one step under the lock now.

TestRefusedAsNotRunWasSent failed before (Done in place of NotRun, one request arrived) and passes.

--- a/internal/driftrelay/abandon_test.go
+++ b/internal/driftrelay/abandon_test.go
@@ -1,7 +1,9 @@
 package driftrelay
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -11,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/almonddrift/almonddrift/internal/driftexchange"
+	"github.com/almonddrift/almonddrift/internal/driftroute"
 )
 
 // attemptAt starts an attempt of a query of its own at an upstream, and returns it
@@ -72,3 +75,28 @@
 		})
 	}
 }
+
+// TestRefusedAsNotRunWasSent guards against a request that is sent right after its
+// caller was told that it did not run.
+func TestRefusedAsNotRunWasSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newSimulation(1, 4, time.Millisecond, rush())
+		connect := make(chan struct{})
+		r := w.relay(WithDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			<-connect
+			return w.dial(ctx, address)
+		}))
+		f, result := attemptAt(r, r.upstreams["shard-0-0"], "late")
+		route := rush()
+		route.Target = driftroute.Single{Service: "shard-0"}
+		s := newScatter(r, &Query{Request: &driftexchange.Request{ID: "late"}, Table: r.table, Route: &route, Arrived: time.Now(), Deadline: time.Now()})
+		s.requests[0].inFlight = []*attempt{f}
+		answer, ok := s.tryAnswerSingle(s.requests[0], true)
+		assert.True(t, ok)
+		assert.Equal(t, http.StatusServiceUnavailable, answer.Status)
+		close(connect)
+		assert.Equal(t, driftexchange.NotRun{Err: driftexchange.ErrAborted}, <-result)
+		assert.Zero(t, w.upstreams["10.0.0.0:80"].arrived)
+		closeAll(r)
+	})
+}
--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -28,7 +29,7 @@
 		return s.passThrough(*l.part, CauseServed), true
 	case l.exhausted && l.failure != nil:
 		return s.passThrough(*l.failure, CausePassed), true
-	case (l.exhausted || deadlinePassed) && !l.mayHaveRun && l.sent == 0 && !anyAttemptSent(l):
+	case (l.exhausted || deadlinePassed) && !l.mayHaveRun && l.sent == 0 && s.abandonUnsent(l):
 		return s.refuseNotRun(s.endCause(l.stopped, deadlinePassed, CauseNoUpstream)), true
 	case l.exhausted && !l.mayHaveRun:
 		return s.refuseNotRun(s.endCause(l.stopped, deadlinePassed, CauseRefused)), true
@@ -41,13 +42,24 @@
 	}
 }
 
+// anyAttemptSent reports whether an attempt in flight was sent. The caller holds the
+// relay's lock.
 func anyAttemptSent(l *shardRequest) bool {
+	return slices.ContainsFunc(l.inFlight, func(f *attempt) bool { return f.sent })
+}
+
+// abandonUnsent reports whether no attempt in flight was sent, and then makes sure
+// that none will be: they are sent by goroutines of their own.
+func (s *scatter) abandonUnsent(l *shardRequest) bool {
+	s.relay.mu.Lock()
+	defer s.relay.mu.Unlock()
+	if anyAttemptSent(l) {
+		return false
+	}
 	for _, f := range l.inFlight {
-		if f.sent {
-			return true
-		}
+		f.abandoned = true
 	}
-	return false
+	return true
 }
 
 func (s *scatter) refuseNotRun(cause Cause) Answer {
