Read the bounds on drains, evacuations and configurations

Cause: constants that fit the published sites stood in place of drainMs, evacuateMs and configApplyMs. The class: a figure of one deployment in place of the setting that states it.

The times for which an upstream is still used, and the age from which a view is stale, are the same share of the bound as on the published sites, and never longer; watches of the store are shortened in the same way, so that a quiet store confirms the view in time. With the published bounds, longer ones, or none all times are as before. The bounds change in a running process, except for those of the retry budget.

In relay_test.go the constant of the published age has another name. The allowance of the running checks (NewWorkGrace, 3 s) and the tick of 250 ms stay constants.

--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -157,7 +157,7 @@
 		if e.rateLimit.named {
 			limits++
 		}
-		removed := !e.removedAt.IsZero() && now.Sub(e.removedAt) > removedGrace
+		removed := !e.removedAt.IsZero() && now.Sub(e.removedAt) > r.graces.removed
 		closing = append(closing, e.removeExpiredConns(now, removed)...)
 		if removed && len(e.inFlight) == 0 {
 			delete(r.upstreams, id)
@@ -299,7 +299,7 @@
 	}
 	for _, e := range r.upstreamsOf(service) {
 		out := r.outSince[e.Domain]
-		if slices.Contains(tried, e) || !e.acceptsRequests(now, out) {
+		if slices.Contains(tried, e) || !e.acceptsRequests(now, out, r.graces) {
 			continue
 		}
 		if len(e.idleConns) == 0 && e.openConns >= r.maxConns(e, published.MaxConns) {
--- a/internal/driftrelay/limit.go
+++ b/internal/driftrelay/limit.go
@@ -154,7 +154,7 @@
 // caller holds the lock.
 func (r *Relay) rateLimitsEndAt(service string, tried []*upstreamState, now time.Time) (next time.Time, limited bool) {
 	for _, e := range r.upstreamsOf(service) {
-		if slices.Contains(tried, e) || !e.acceptsRequests(now, r.outSince[e.Domain]) {
+		if slices.Contains(tried, e) || !e.acceptsRequests(now, r.outSince[e.Domain], r.graces) {
 			continue
 		}
 		if r.withinRateLimit(e, now) {
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -55,7 +55,8 @@
 	// otherEntries are those of others that are entry VMs.
 	otherEntries []VM
 	// unmet is set while there may be VMs that this one has not met.
-	unmet bool
+	unmet  bool
+	graces graces
 	// generation counts changes of the VMs and of the upstreams.
 	generation   uint64
 	peers        []*upstreamState
@@ -123,10 +124,6 @@
 	return func(r *Relay) { r.viewAge = age }
 }
 
-// staleAfter is the age of the view from which a missing route may already be
-// published: changes are in force within 3 s on the published sites.
-const staleAfter = 2900 * time.Millisecond
-
 // DefaultBudget returns the rule of the published sites.
 func DefaultBudget() BudgetRule {
 	return BudgetRule{Ratio: 0.2, FixedExtra: 56, Window: 10 * time.Second}
@@ -143,7 +140,7 @@
 		upstreams: make(map[string]*upstreamState), services: make(map[string][]*upstreamState),
 		outSince: make(map[string]time.Time), budgets: make(map[string]*Budget),
 		typicalTimes: make(map[string]time.Duration), longest: make(map[string]*recentMax),
-		stopping: make(chan struct{}), sendRate: rateMeter{since: time.Now()},
+		graces: publishedGraces, stopping: make(chan struct{}), sendRate: rateMeter{since: time.Now()},
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -360,7 +357,7 @@
 // route may be missing from it, so the caller is asked to try again.
 func (r *Relay) noRoute(request *driftexchange.Request, path string, version int64) Answer {
 	age := r.viewAge()
-	if age > staleAfter {
+	if age > r.staleAfter() {
 		return r.refuseUnrouted(request, CauseStale, retrySoon)
 	}
 	r.metrics.observeAnswer("", CauseNoRoute, 0)
--- a/internal/driftrelay/relay_test.go
+++ b/internal/driftrelay/relay_test.go
@@ -220,7 +220,7 @@
 		assert.Equal(t, http.StatusNotFound, serve(w.relay()).Status)
 	})
 	t.Run("stale view", func(t *testing.T) {
-		a := serve(w.relay(WithViewAge(func() time.Duration { return 2 * staleAfter })))
+		a := serve(w.relay(WithViewAge(func() time.Duration { return 2 * publishedGraces.stale })))
 		assert.Equal(t, http.StatusServiceUnavailable, a.Status)
 	})
 }
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -231,7 +231,7 @@
 // once it has capacity. The caller holds the lock.
 func (r *Relay) anyUsable(service string, tried []*upstreamState, now time.Time) bool {
 	for _, e := range r.upstreamsOf(service) {
-		if !slices.Contains(tried, e) && e.acceptsRequests(now, r.outSince[e.Domain]) {
+		if !slices.Contains(tried, e) && e.acceptsRequests(now, r.outSince[e.Domain], r.graces) {
 			return true
 		}
 	}
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -140,7 +140,7 @@
 	e := f.upstream
 	switch {
 	case result.Misdirected:
-		e.removedAt = now.Add(-removedGrace)
+		e.removedAt = now.Add(-r.graces.removed)
 	case result.Refused:
 		e.markReachable()
 		e.recordOutcome(now, false, true)
--- a/internal/driftrelay/upstream.go
+++ b/internal/driftrelay/upstream.go
@@ -32,16 +32,6 @@
 	OutOfService []string
 }
 
-// Grace periods after which an upstream gets no more requests. On the published
-// sites an upstream serves for at least 3 s after it has announced that it
-// leaves or was removed from the list; entries that expired because the
-// platform was unavailable are back within 2 s.
-const (
-	leavingGrace      = 1500 * time.Millisecond
-	removedGrace      = 2300 * time.Millisecond
-	outOfServiceGrace = 1500 * time.Millisecond
-)
-
 // Parameters of the statistics on an upstream.
 const (
 	// slowdownDecay is the time constant with which a measured slowdown decays.
@@ -126,13 +116,13 @@
 }
 
 // acceptsRequests reports whether the upstream may get new requests.
-func (e *upstreamState) acceptsRequests(now time.Time, outSince time.Time) bool {
+func (e *upstreamState) acceptsRequests(now time.Time, outSince time.Time, g graces) bool {
 	switch {
-	case !e.removedAt.IsZero() && now.Sub(e.removedAt) > removedGrace:
+	case !e.removedAt.IsZero() && now.Sub(e.removedAt) > g.removed:
 		return false
-	case !e.leavingAt.IsZero() && now.Sub(e.leavingAt) > leavingGrace:
+	case !e.leavingAt.IsZero() && now.Sub(e.leavingAt) > g.leaving:
 		return false
-	case !outSince.IsZero() && now.Sub(outSince) > outOfServiceGrace:
+	case !outSince.IsZero() && now.Sub(outSince) > g.outOfService:
 		return false
 	default:
 		return now.After(e.downUntil)
--- a/internal/driftstate/reader.go
+++ b/internal/driftstate/reader.go
@@ -89,6 +89,8 @@
 	observe        func(ReadResult)
 	pullRequests   chan struct{}
 	lastReadFailed atomic.Bool
+	// configBound holds the duration that SetConfigBound sets.
+	configBound atomic.Int64
 }
 
 // ReadResult is the outcome of one call to the platform or to another VM.
@@ -124,6 +126,24 @@
 	return func(r *Reader) { r.observe = observe }
 }
 
+// SetConfigBound sets how long after its publication a change has to be in force, 0
+// for that of the published sites. A shorter bound shortens the watches, so that
+// confirmed state does not get older.
+func (r *Reader) SetConfigBound(bound time.Duration) { r.configBound.Store(int64(bound)) }
+
+// watchWait returns how long one watch waits for a change: two thirds of the bound.
+func (r *Reader) watchWait() time.Duration {
+	bound := time.Duration(r.configBound.Load())
+	if bound <= 0 {
+		return watchWait
+	}
+	return min(watchWait, bound*2/3)
+}
+
+// directReadAge returns the age of confirmed state above which a VM that is not a
+// platform reader reads for itself.
+func (r *Reader) directReadAge() time.Duration { return directReadAge - watchWait + r.watchWait() }
+
 // NewReader returns a reader that updates the replica.
 func NewReader(replica *Replica, source Source, fleet Fleet, opts ...ReaderOption) *Reader {
 	r := &Reader{
@@ -236,7 +256,7 @@
 // readDue reports whether this VM should read the platform now.
 func (r *Reader) readDue() bool {
 	revision, confirmed := r.replica.Revision()
-	return revision.IsZero() || r.fleet.IsPlatformReader() || time.Since(confirmed) > directReadAge
+	return revision.IsZero() || r.fleet.IsPlatformReader() || time.Since(confirmed) > r.directReadAge()
 }
 
 func (r *Reader) read(ctx context.Context) error {
@@ -271,10 +291,11 @@
 }
 
 func (r *Reader) watch(ctx context.Context, after Revision) (changed bool, err error) {
-	bounded, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	wait := r.watchWait()
+	bounded, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	start := time.Now()
-	c, err := r.source.Watch(bounded, after, watchWait)
+	c, err := r.source.Watch(bounded, after, wait)
 	if err == nil && c.Revision.Era > after.Era {
 		// The changes before those of the answer are unknown.
 		err = ErrReverted
