--- a/internal/driftrelay/claim.go
+++ b/internal/driftrelay/claim.go
@@ -16,7 +16,7 @@
 // recordFalseClaim removes an upstream whose address answers for another one. The
 // caller holds the lock.
 func (r *Relay) recordFalseClaim(e *upstreamState, now time.Time) {
-	e.removedAt = now.Add(-removedGrace)
+	e.removedAt = now.Add(-r.graces.removed)
 	if r.upstreams[e.ID] == e {
 		r.falseClaims[e.ID] = falseClaim{entry: e.Upstream, at: now}
 	}
--- a/internal/driftrelay/restart.go
+++ b/internal/driftrelay/restart.go
@@ -152,7 +152,7 @@
 	case driftexchange.NotRun:
 		switch {
 		case result.Misdirected:
-			e.removedAt = now.Add(-removedGrace)
+			e.removedAt = now.Add(-r.graces.removed)
 		case c == nil:
 			e.markUnreachable(now)
 		}
