gossip: a key that is no text no longer hides all changes from other VMs

Cause: a message between VMs holds keys as text. One key of other bytes failed the answer to every VM that pulled changes. The JSON of the store cannot hold such a key, so that no caller has seen it; it is the class of the records of another writer.

Change: such bytes are replaced, as a reader of JSON does.

TestOddRecordHeldUpOtherVMs/key_of_no_text failed before: "failed to marshal proto response: string field contains invalid UTF-8". Its other five subtests passed.

--- a/internal/driftgossip/call.go
+++ b/internal/driftgossip/call.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -103,8 +104,9 @@
 		reply.Age = uint32(min(time.Since(c.Confirmed).Milliseconds(), unconfirmedAgeMillis))
 	}
 	for _, i := range c.Items {
+		// The message holds text only, and one odd key must not hold up the others.
 		reply.Items = append(reply.Items, &driftgossippb.Item{
-			Key: i.Key, Value: i.Value, Era: i.Revision.Era, Revision: i.Revision.Number, Removed: i.Removed,
+			Key: strings.ToValidUTF8(i.Key, "\ufffd"), Value: i.Value, Era: i.Revision.Era, Revision: i.Revision.Number, Removed: i.Removed,
 		})
 	}
 	return reply, nil
