driftsoak: a file replaces the lists of the built-in run as a whole

A list in a configuration file was decoded over the elements of the built-in one, so that a service without shards got those of the service before. The test failed before: the service read was {s 10 3 4 24 36 3 200 4.5}. Run: go test -race -cpu 1 ./internal/driftsoak

--- a/internal/driftsoak/config.go
+++ b/internal/driftsoak/config.go
@@ -162,7 +162,15 @@
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	config = base
-	return config, decoder.Decode(&config)
+	config.Services, config.Classes = nil, nil
+	err = decoder.Decode(&config)
+	if config.Services == nil {
+		config.Services = base.Services
+	}
+	if config.Classes == nil {
+		config.Classes = base.Classes
+	}
+	return config, err
 }
 
 // Validate reports the first field that is not allowed.
--- a/internal/driftsoak/judge_test.go
+++ b/internal/driftsoak/judge_test.go
@@ -37,9 +37,12 @@
 	return append(events, Event{At: 2, Kind: Answered, ID: "a", Status: status})
 }
 
+// plannedAt is when the planned work of the records begins.
+const plannedAt = 10
+
 // beside adds an event of a VM or of the operator.
-func beside(kind Kind, vm string, at float64, events []Event) []Event {
-	return append([]Event{{At: at, Kind: kind, VM: vm}}, events...)
+func beside(kind Kind, vm string, events []Event) []Event {
+	return append([]Event{{At: plannedAt, Kind: kind, VM: vm}}, events...)
 }
 
 // assertCounts checks how many requests were lost, excused, cut and crossed.
@@ -59,21 +62,21 @@
 		events                      []Event
 		lost, excused, cut, crossed int
 	}{
-		{"passed on and cut after the SIGTERM", beside(Term, "vm-1", 10, request(13.5, 13.6, 15.3)), 1, 0, 1, 0},
-		{"sent before the SIGTERM and cut at it", beside(Term, "vm-1", 10, request(9.9, 9.95, 10.01)), 1, 0, 1, 0},
-		{"cut by the kill at the end of the grace period", beside(Term, "vm-1", 10, request(13.5, 13.6, 16)), 1, 0, 1, 0},
-		{"held for longer than the slack and not passed on", beside(Term, "vm-1", 10, unread(13, 13.3)), 1, 0, 1, 0},
-		{"met by the close of the connection", beside(Term, "vm-1", 10, unread(13, 13.1)), 0, 0, 0, 1},
-		{"at work in the last sixth, sent early", beside(Term, "vm-1", 10, request(12.9, 13, 15.3)), 0, 1, 1, 0},
-		{"at work until before the last sixth, sent early", beside(Term, "vm-1", 10, request(12.9, 13, 14.9)), 1, 0, 1, 0},
-		{"at work in the last sixth, sent late", beside(Term, "vm-1", 10, request(13.1, 13.2, 15.3)), 1, 0, 1, 0},
-		{"the time is over", beside(Term, "vm-1", 10, request(10.5, 10.6, 14.5)), 0, 1, 1, 0},
+		{"passed on and cut after the SIGTERM", beside(Term, "vm-1", request(13.5, 13.6, 15.3)), 1, 0, 1, 0},
+		{"sent before the SIGTERM and cut at it", beside(Term, "vm-1", request(9.9, 9.95, 10.01)), 1, 0, 1, 0},
+		{"cut by the kill at the end of the grace period", beside(Term, "vm-1", request(13.5, 13.6, 16)), 1, 0, 1, 0},
+		{"held for longer than the slack and not passed on", beside(Term, "vm-1", unread(13, 13.3)), 1, 0, 1, 0},
+		{"met by the close of the connection", beside(Term, "vm-1", unread(13, 13.1)), 0, 0, 0, 1},
+		{"at work in the last sixth, sent early", beside(Term, "vm-1", request(12.9, 13, 15.3)), 0, 1, 1, 0},
+		{"at work until before the last sixth, sent early", beside(Term, "vm-1", request(12.9, 13, 14.9)), 1, 0, 1, 0},
+		{"at work in the last sixth, sent late", beside(Term, "vm-1", request(13.1, 13.2, 15.3)), 1, 0, 1, 0},
+		{"the time is over", beside(Term, "vm-1", request(10.5, 10.6, 14.5)), 0, 1, 1, 0},
 		{
 			"the upstream broke off",
-			append(beside(Term, "vm-1", 10, request(13.5, 13.6, 14)), Event{At: 13.9, Kind: Broke, ID: "a", Upstream: "i-1"}), 0, 1, 1, 0,
+			append(beside(Term, "vm-1", request(13.5, 13.6, 14)), Event{At: 13.9, Kind: Broke, ID: "a", Upstream: "i-1"}), 0, 1, 1, 0,
 		},
-		{"another VM got the SIGTERM", beside(Term, "vm-2", 10, request(13.5, 13.6, 15.3)), 0, 0, 1, 0},
-		{"long after the SIGTERM", beside(Term, "vm-1", 10, request(17, 17.1, 17.5)), 0, 0, 1, 0},
+		{"another VM got the SIGTERM", beside(Term, "vm-2", request(13.5, 13.6, 15.3)), 0, 0, 1, 0},
+		{"long after the SIGTERM", beside(Term, "vm-1", request(17, 17.1, 17.5)), 0, 0, 1, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) { assertCounts(t, c.events, c.lost, c.excused, c.cut, c.crossed) })
 	}
@@ -81,19 +84,19 @@
 
 func TestJudgeOfOtherPlannedWork(t *testing.T) {
 	t.Run("beside a SIGHUP", func(t *testing.T) {
-		assertCounts(t, beside(Hup, "vm-1", 10, request(12, 12.1, 13)), 1, 0, 1, 0)
+		assertCounts(t, beside(Hup, "vm-1", request(12, 12.1, 13)), 1, 0, 1, 0)
 	})
 	t.Run("sent too long after a SIGHUP", func(t *testing.T) {
-		assertCounts(t, beside(Hup, "vm-1", 10, request(13.5, 13.6, 14)), 0, 0, 1, 0)
+		assertCounts(t, beside(Hup, "vm-1", request(13.5, 13.6, 14)), 0, 0, 1, 0)
 	})
 	t.Run("beside a configuration", func(t *testing.T) {
-		assertCounts(t, append(beside(Updated, "", 10, request(12, 12.1, 13)), Event{At: 60, Kind: Ended}), 1, 0, 1, 0)
+		assertCounts(t, append(beside(Updated, "", request(12, 12.1, 13)), Event{At: 60, Kind: Ended}), 1, 0, 1, 0)
 	})
 	t.Run("beside a configuration, late in its time", func(t *testing.T) {
-		assertCounts(t, append(beside(Updated, "", 10, request(10.5, 10.6, 13.5)), Event{At: 60, Kind: Ended}), 0, 0, 1, 0)
+		assertCounts(t, append(beside(Updated, "", request(10.5, 10.6, 13.5)), Event{At: 60, Kind: Ended}), 0, 0, 1, 0)
 	})
 	t.Run("as often without a configuration", func(t *testing.T) {
-		events := append(beside(Updated, "", 10, request(12, 12.1, 13)), Event{At: 15, Kind: Ended})
+		events := append(beside(Updated, "", request(12, 12.1, 13)), Event{At: 15, Kind: Ended})
 		for _, e := range request(3, 3.1, 4) {
 			e.ID = "b"
 			events = append(events, e)
--- a/internal/driftsoak/standin_test.go
+++ b/internal/driftsoak/standin_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"path/filepath"
 	"testing"
 	"time"
@@ -153,6 +154,15 @@
 		wrong.Program, wrong.Dir, wrong.Classes[0].Service = "almonddrift", "soak", "nowhere"
 		assert.Error(t, wrong.Validate())
 	})
+	t.Run("a file replaces lists as a whole", func(t *testing.T) {
+		path := filepath.Join(t.TempDir(), ConfigFile)
+		require.NoError(t, os.WriteFile(path, []byte(`{"vms":3,"services":[{"name":"s"}]}`), 0o600))
+		read, err := ReadConfig(path, config)
+		require.NoError(t, err)
+		assert.Equal(t, 3, read.VMs)
+		assert.Equal(t, []Service{{Name: "s"}}, read.Services)
+		assert.Equal(t, config.Classes, read.Classes)
+	})
 	t.Run("no VMs", func(t *testing.T) {
 		wrong := config
 		wrong.VMs = 0
