driftsoak: clients that use one VM until it has gone, and upstreams that are held up

Sticky clients dial their VM again, as those of the users' page do. Stalls hold up all upstreams at once.

--- a/internal/driftsoak/client.go
+++ b/internal/driftsoak/client.go
@@ -46,7 +46,7 @@
 type client struct {
 	domain string
 	host   string
-	// sticky clients use connections until the process has gone.
+	// sticky clients use a VM until its process has gone.
 	sticky bool
 	// patience is how many times the directory's ttl an answer is kept.
 	patience time.Duration
@@ -57,7 +57,9 @@
 	mu      sync.Mutex
 	addrs   []string
 	expires time.Time
-	idle    []*clientConn
+	// last is the address of the newest connection.
+	last string
+	idle []*clientConn
 }
 
 // clientConn is an open connection to a VM.
@@ -107,13 +109,19 @@
 		_ = connection.Close()
 	}
 	c.mu.Lock()
-	addrs := slices.Clone(c.addrs)
+	addrs, last := slices.Clone(c.addrs), c.last
 	c.mu.Unlock()
 	source.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	if c.sticky && last != "" {
+		addrs = append([]string{last}, addrs...)
+	}
 	dialer := net.Dialer{Timeout: dialTimeout}
 	for _, address := range addrs[:min(len(addrs), resolveTries)] {
 		connection, err := dialer.DialContext(ctx, "tcp4", address)
 		if err == nil {
+			c.mu.Lock()
+			c.last = address
+			c.mu.Unlock()
 			return &clientConn{Conn: connection, address: address, reader: bufio.NewReader(connection)}, nil
 		}
 	}
--- a/internal/driftsoak/config.go
+++ b/internal/driftsoak/config.go
@@ -32,8 +32,8 @@
 	Threads int `json:"threads" validate:"min=0"`
 	// Clients share the rates of all classes.
 	Clients int `json:"clients" validate:"min=1,max=10000"`
-	// Sticky is the share of clients that use open connections until the process has
-	// gone, whatever the directory says.
+	// Sticky is the share of clients that use one VM until its process has gone, whatever
+	// the directory says.
 	Sticky float64 `json:"sticky" validate:"min=0,max=1"`
 	// Span is how long clients send requests, in seconds.
 	Span     float64   `json:"span" validate:"gt=0"`
@@ -44,6 +44,9 @@
 	Updates Periodic `json:"updates"`
 	// Churn replaces one upstream by a new one.
 	Churn Periodic `json:"churn"`
+	// Stalls hold up the answers of all upstreams, each for Stall seconds.
+	Stalls Periodic `json:"stalls"`
+	Stall  float64  `json:"stall" validate:"min=0"`
 }
 
 // Service describes the upstreams of one service or of each of its shards.
--- a/internal/driftsoak/operator.go
+++ b/internal/driftsoak/operator.go
@@ -29,6 +29,7 @@
 	record  *Record
 	vms     []*vm
 	version int
+	stall   stall
 
 	mu        sync.Mutex
 	upstreams []*upstream
@@ -107,7 +108,7 @@
 	u := &upstream{
 		Service: s, id: fmt.Sprintf("i-%04x%04x", number, source.Uint32N(1<<16)), service: name,
 		address: o.network.upstream(number), domain: domainName(index), speed: speeds[index%len(speeds)],
-		store: o.store, record: o.record,
+		store: o.store, record: o.record, stall: &o.stall,
 	}
 	if err := u.start(ctx); err != nil {
 		return err
@@ -149,7 +150,7 @@
 // play runs the plan until the load has ended and all its parts are done.
 func (o *operator) play(ctx context.Context, seed uint64) error {
 	var wait sync.WaitGroup
-	parts := []func(context.Context, *rand.Rand, *sync.WaitGroup){o.playStops, o.playUpdates, o.playChurn}
+	parts := []func(context.Context, *rand.Rand, *sync.WaitGroup){o.playStops, o.playUpdates, o.playChurn, o.playStalls}
 	for i, part := range parts {
 		source := rand.New(rand.NewPCG(seed, uint64(1000+i)))
 		wait.Go(func() { part(ctx, source, &wait) })
@@ -230,6 +231,13 @@
 	recur(ctx, o.config.Updates, source, func(n int) { o.fail(o.publish(n)) })
 }
 
+func (o *operator) playStalls(ctx context.Context, source *rand.Rand, _ *sync.WaitGroup) {
+	recur(ctx, o.config.Stalls, source, func(int) {
+		o.record.Add(Event{Kind: Changed, Note: "upstreams are held up"})
+		o.stall.begin(time.Duration(o.config.Stall * float64(time.Second)))
+	})
+}
+
 // playChurn lets one upstream leave and another start in its place.
 func (o *operator) playChurn(ctx context.Context, source *rand.Rand, wait *sync.WaitGroup) {
 	recur(ctx, o.config.Churn, source, func(n int) {
--- a/internal/driftsoak/standin_test.go
+++ b/internal/driftsoak/standin_test.go
@@ -27,7 +27,7 @@
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	u = &upstream{Service: s, id: "i-1", service: s.Name, address: address, speed: 1, store: newStore(), record: record}
+	u = &upstream{Service: s, id: "i-1", service: s.Name, address: address, speed: 1, store: newStore(), record: record, stall: new(stall)}
 	require.NoError(t, u.start(t.Context()))
 	t.Cleanup(func() { assert.NoError(t, u.end()) })
 	return u, func() []Event {
--- a/internal/driftsoak/upstream.go
+++ b/internal/driftsoak/upstream.go
@@ -12,6 +12,7 @@
 	"path"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -39,6 +40,7 @@
 	speed                        float64
 	store                        *store
 	record                       *Record
+	stall                        *stall
 
 	server *http.Server
 	born   time.Time
@@ -280,20 +282,31 @@
 		u.count(-1, 0)
 	}()
 	u.record.Add(Event{Kind: Ran, ID: id, Upstream: u.id})
-	work := time.NewTimer(u.workOf(id, r.URL.Path))
-	defer work.Stop()
 	status := http.StatusOK
-	select {
-	case <-work.C:
-	case <-ctx.Done():
-		u.drop(id)
-		return
-	case <-over.C:
-		status = http.StatusGatewayTimeout
+	for left := u.workOf(id, r.URL.Path); left > 0 && status == http.StatusOK; left = u.stall.left() {
+		work := time.NewTimer(left)
+		select {
+		case <-work.C:
+		case <-ctx.Done():
+			work.Stop()
+			u.drop(id)
+			return
+		case <-over.C:
+			work.Stop()
+			status = http.StatusGatewayTimeout
+		}
 	}
 	u.answer(w, id, status)
 }
 
+// stall holds up the answers of all upstreams, as on a host that does not schedule them.
+type stall struct{ until atomic.Int64 }
+
+func (s *stall) begin(span time.Duration) { s.until.Store(time.Now().Add(span).UnixNano()) }
+
+// left returns how much longer answers are held up.
+func (s *stall) left() time.Duration { return max(0, time.Until(time.Unix(0, s.until.Load()))) }
+
 // drop records that a request's connection has ended.
 func (u *upstream) drop(id string) {
 	kind := Dropped
