--- a/internal/driftsoak/client.go
+++ b/internal/driftsoak/client.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -235,7 +236,7 @@
 	event.Note = ""
 	if err != nil {
 		_ = connection.Close()
-		event.Kind, event.Note = Cut, err.Error()
+		event.Kind, event.Note, event.Unread = Cut, err.Error(), errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			event.Kind = GaveUp
 		}
--- a/internal/driftsoak/event.go
+++ b/internal/driftsoak/event.go
@@ -45,6 +45,8 @@
 	Updated Kind = "updated"
 	// Changed: the state of an upstream has changed.
 	Changed Kind = "changed"
+	// Held: the host has not run this process for the last Left seconds.
+	Held Kind = "held"
 	// Ended: the load has ended.
 	Ended Kind = "ended"
 )
@@ -64,8 +66,11 @@
 	Once   bool `json:"once,omitempty"`
 	Status int  `json:"status,omitempty"`
 	// Left is the time until the client's budget or the route's timeout ends, whichever is
-	// first, in seconds.
+	// first, in seconds; of a Held event, how long the process did not run.
 	Left float64 `json:"left,omitempty"`
+	// Unread is set on a Cut event if the connection was reset: the VM has left bytes of the
+	// request unread.
+	Unread bool `json:"unread,omitempty"`
 	// Note is for the reader.
 	Note string `json:"note,omitempty"`
 }
--- a/internal/driftsoak/judge_test.go
+++ b/internal/driftsoak/judge_test.go
@@ -28,6 +28,18 @@
 	}
 }
 
+// reset returns the events of a request whose connection was reset.
+func reset(sent, ended float64, passed bool) (events []Event) {
+	events = unread(sent, ended)
+	if passed {
+		events = request(sent, sent, ended)
+	}
+	for i := range events {
+		events[i].Unread = events[i].Kind == Cut
+	}
+	return events
+}
+
 // once returns the events of a request that may run at most once.
 func once(status, runs int) (events []Event) {
 	events = []Event{{At: 1, Kind: Sent, ID: "a", VM: "vm-1", Once: true, Left: 4}}
@@ -67,6 +79,8 @@
 		{"cut by the kill at the end of the grace period", beside(Term, "vm-1", request(13.5, 13.6, 16)), 1, 0, 1, 0},
 		{"held for longer than the slack and not passed on", beside(Term, "vm-1", unread(13, 13.3)), 1, 0, 1, 0},
 		{"met by the close of the connection", beside(Term, "vm-1", unread(13, 13.1)), 0, 0, 0, 1},
+		{"reset with unread bytes", beside(Term, "vm-1", reset(13, 13.3, false)), 0, 0, 0, 1},
+		{"reset after it was passed on", beside(Term, "vm-1", reset(13, 13.3, true)), 1, 0, 1, 0},
 		{"at work in the last sixth, sent early", beside(Term, "vm-1", request(12.9, 13, 15.3)), 0, 1, 1, 0},
 		{"at work until before the last sixth, sent early", beside(Term, "vm-1", request(12.9, 13, 14.9)), 1, 0, 1, 0},
 		{"at work in the last sixth, sent late", beside(Term, "vm-1", request(13.1, 13.2, 15.3)), 1, 0, 1, 0},
@@ -75,6 +89,14 @@
 			"the upstream broke off",
 			append(beside(Term, "vm-1", request(13.5, 13.6, 14)), Event{At: 13.9, Kind: Broke, ID: "a", Upstream: "i-1"}), 0, 1, 1, 0,
 		},
+		{
+			"the host stood still shortly before",
+			append(beside(Term, "vm-1", request(13.5, 13.6, 15.3)), Event{At: 12, Kind: Held, Left: 1}), 0, 1, 1, 0,
+		},
+		{
+			"the host stood still long before",
+			append(beside(Term, "vm-1", request(13.5, 13.6, 15.3)), Event{At: 9, Kind: Held, Left: 1}), 1, 0, 1, 0,
+		},
 		{"another VM got the SIGTERM", beside(Term, "vm-2", request(13.5, 13.6, 15.3)), 0, 0, 1, 0},
 		{"long after the SIGTERM", beside(Term, "vm-1", request(17, 17.1, 17.5)), 0, 0, 1, 0},
 	} {
--- a/internal/driftsoak/run.go
+++ b/internal/driftsoak/run.go
@@ -19,6 +19,10 @@
 	// settleTime is how long the VMs run before the load, so that they have exchanged
 	// their states.
 	settleTime = contact + time.Second
+	// watchPeriod and heldTime are how often a run looks whether the host runs it, and what
+	// delay it records.
+	watchPeriod = 20 * time.Millisecond
+	heldTime    = 250 * time.Millisecond
 	// RecordFile is the name of the record in the folder of a run.
 	RecordFile = "record.jsonl"
 	// ConfigFile is the name of the configuration there.
@@ -88,6 +92,7 @@
 func play(ctx context.Context, c Config, record *Record) (err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go watchHost(ctx, record)
 	n, err := newNetwork(ctx, c.VMs)
 	if err != nil {
 		return err
@@ -145,6 +150,18 @@
 	return err
 }
 
+// watchHost records when the host does not run this process, until the context ends.
+func watchHost(ctx context.Context, record *Record) {
+	for last := time.Now(); ctx.Err() == nil; {
+		sleep(ctx, watchPeriod)
+		now := time.Now()
+		if late := now.Sub(last) - watchPeriod; late > heldTime {
+			record.AddAt(now, Event{Kind: Held, Left: late.Seconds()})
+		}
+		last = now
+	}
+}
+
 func (o *operator) newClients(source *rand.Rand) (clients []*client) {
 	names := make(map[string]string)
 	for _, m := range o.vms {
