--- a/cmd/driftsoak/main.go
+++ b/cmd/driftsoak/main.go
@@ -38,6 +38,8 @@
 	Program string `default:"target/almonddrift" help:"The product's executable." type:"existingfile"`
 	Dir     string `default:"target/soak" help:"Folder of the records and logs, a folder in it for each seed." type:"path"`
 	Config  string `help:"JSON file with fields that replace those of the built-in run." type:"existingfile"`
+	Vary    bool   `help:"Draw further figures of each run from its seed."`
+	VMs     int    `name:"vms" help:"Number of VM processes, 0 for that of the configuration."`
 	Seed    uint64 `default:"1" help:"The first seed."`
 	Seeds   int    `default:"1" help:"Number of seeds."`
 	Jobs    int    `default:"1" help:"Runs at a time."`
@@ -89,6 +91,9 @@
 	if config.Program, err = filepath.Abs(c.Program); err != nil {
 		return err
 	}
+	if c.VMs > 0 {
+		config.VMs = c.VMs
+	}
 	var (
 		mu             sync.Mutex
 		wait           sync.WaitGroup
@@ -104,6 +109,9 @@
 			defer func() { <-places }()
 			one := config
 			one.Seed = c.Seed + uint64(i)
+			if c.Vary {
+				one = driftsoak.Vary(one)
+			}
 			one.Dir = filepath.Join(c.Dir, strconv.FormatUint(one.Seed, 10))
 			report, err := driftsoak.Run(ctx, one)
 			mu.Lock()
--- a/internal/driftsoak/judge.go
+++ b/internal/driftsoak/judge.go
@@ -194,7 +194,6 @@
 	}
 	term, stopped := plan.stopOf(t)
 	finding := t.finding(term, "no planned work")
-	r.Cut = append(r.Cut, finding)
 	excuse := t.excuse(term, stopped)
 	if plan.heldBeside(t) {
 		excuse = "the host stood still"
@@ -212,6 +211,7 @@
 	case spent < 0.7*t.sent.Left:
 		*beside = append(*beside, finding)
 	}
+	r.Cut = append(r.Cut, finding)
 }
 
 // stopOf returns the time of the SIGTERM around which the request was cut.
--- a/internal/driftsoak/standin_test.go
+++ b/internal/driftsoak/standin_test.go
@@ -149,6 +149,14 @@
 	config := Sheet()
 	config.Program, config.Dir = "almonddrift", "soak"
 	require.NoError(t, config.Validate())
+	t.Run("varied by seeds", func(t *testing.T) {
+		varied := config
+		for varied.Seed = range uint64(100) {
+			require.NoError(t, Vary(varied).Validate(), "seed %d", varied.Seed)
+			again := Vary(varied)
+			assert.Equal(t, Vary(varied), again)
+		}
+	})
 	t.Run("a class without its service", func(t *testing.T) {
 		wrong := Sheet()
 		wrong.Program, wrong.Dir, wrong.Classes[0].Service = "almonddrift", "soak", "nowhere"
