driftsoak: VMs that run only a share of each tenth of a second

The process is stopped and continued, as on a core whose usage cap is reached. No test beyond the package's own, which passed with -race -cpu 1 (TestSoakPlannedStops left out).

--- a/internal/driftsoak/config.go
+++ b/internal/driftsoak/config.go
@@ -30,6 +30,8 @@
 	VMs int `json:"vms" validate:"min=1,max=200"`
 	// Threads is GOMAXPROCS of the VMs, 0 for the default.
 	Threads int `json:"threads" validate:"min=0"`
+	// Share is the share of each tenth of a second in which a VM's process runs; 0 is all.
+	Share float64 `json:"share" validate:"min=0,max=1"`
 	// Clients share the rates of all classes.
 	Clients int `json:"clients" validate:"min=1,max=10000"`
 	// Sticky is the share of clients that use one VM until its process has gone, whatever
--- a/internal/driftsoak/vm.go
+++ b/internal/driftsoak/vm.go
@@ -26,7 +26,9 @@
 	drainTime   = 3 * time.Second
 	contact     = 4 * time.Second
 	// readyTime is how long the VMs may take until all are ready.
-	readyTime = 30 * time.Second
+	readyTime = time.Minute
+	// capPeriod is the period in which a VM's processor time is counted.
+	capPeriod = 100 * time.Millisecond
 )
 
 const (
@@ -182,6 +184,9 @@
 	m.process, m.done = command.Process, done
 	m.mu.Unlock()
 	m.record.Add(Event{Kind: Booted, VM: m.name, Note: strconv.Itoa(command.Process.Pid)})
+	if m.config.Share > 0 {
+		go capProcess(command.Process, m.config.Share, done)
+	}
 	go func() {
 		defer close(done)
 		note := "exit 0"
@@ -194,6 +199,27 @@
 	return nil
 }
 
+// capProcess stops and continues a process in each tenth of a second until it has ended,
+// as on a VM whose processor time is used up.
+func capProcess(process *os.Process, share float64, done <-chan struct{}) {
+	run := time.Duration(share * float64(capPeriod))
+	for {
+		for _, part := range []struct {
+			signal os.Signal
+			span   time.Duration
+		}{{syscall.SIGCONT, run}, {syscall.SIGSTOP, capPeriod - run}} {
+			if err := process.Signal(part.signal); err != nil {
+				return
+			}
+			select {
+			case <-done:
+				return
+			case <-time.After(part.span):
+			}
+		}
+	}
+}
+
 // signal sends a signal to the process, unless it has ended.
 func (m *vm) signal(s syscall.Signal, kind Kind) {
 	m.mu.Lock()
