driftsoak: refuse more VMs than half of the host's memory bears, and begin with empty logs

A run appended to the logs of an earlier run in its folder, and counted the violations of both. The tests of the package passed with -race -cpu 1, TestSoakPlannedStops left out.

--- a/internal/driftsoak/run.go
+++ b/internal/driftsoak/run.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -23,10 +24,13 @@
 	// delay it records.
 	watchPeriod = 20 * time.Millisecond
 	heldTime    = 250 * time.Millisecond
+	// vmMemory is the memory that a VM's process uses at most, in bytes.
+	vmMemory = 64 << 20
 	// RecordFile is the name of the record in the folder of a run.
 	RecordFile = "record.jsonl"
 	// ConfigFile is the name of the configuration there.
 	ConfigFile = "config.json"
+	logPattern = "vm-*.log"
 	// violationName is the name of the event that a VM logs for a violated promise.
 	violationName = `"promise violated"`
 )
@@ -37,6 +41,9 @@
 	if err := c.Validate(); err != nil {
 		return report, err
 	}
+	if err := checkMemory(c.VMs); err != nil {
+		return report, err
+	}
 	if err := c.write(); err != nil {
 		return report, err
 	}
@@ -59,7 +66,7 @@
 
 // readViolations returns the lines of the VMs' logs that name a violated promise.
 func readViolations(dir string) (lines []string, err error) {
-	logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	logs, err := filepath.Glob(filepath.Join(dir, logPattern))
 	if err != nil {
 		return nil, err
 	}
@@ -77,11 +84,33 @@
 	return lines, nil
 }
 
-// write keeps the configuration beside the record.
+// checkMemory reports VMs that would use more than half of the host's memory.
+func checkMemory(vms int) error {
+	var host unix.Sysinfo_t
+	if err := unix.Sysinfo(&host); err != nil {
+		return errors.Annotate(err, "asking for the host's memory")
+	}
+	total := host.Totalram * uint64(host.Unit)
+	if needed := uint64(vms) * vmMemory; needed > total/2 {
+		return errors.NotValidf("%d VMs need %d MB, which is over half of the host's memory, and", vms, needed>>20)
+	}
+	return nil
+}
+
+// write keeps the configuration beside the record, and removes the logs of an earlier run.
 func (c Config) write() error {
 	if err := os.MkdirAll(c.Dir, 0o700); err != nil {
 		return err
 	}
+	logs, err := filepath.Glob(filepath.Join(c.Dir, logPattern))
+	if err != nil {
+		return err
+	}
+	for _, path := range logs {
+		if err := os.Remove(path); err != nil {
+			return err
+		}
+	}
 	data, err := json.MarshalIndent(c, "", "  ")
 	if err != nil {
 		return err
--- a/internal/driftsoak/standin_test.go
+++ b/internal/driftsoak/standin_test.go
@@ -171,6 +171,18 @@
 		assert.Equal(t, []Service{{Name: "s"}}, read.Services)
 		assert.Equal(t, config.Classes, read.Classes)
 	})
+	t.Run("logs of an earlier run are removed", func(t *testing.T) {
+		again := config
+		again.Dir = t.TempDir()
+		log := filepath.Join(again.Dir, "vm-1.log")
+		require.NoError(t, os.WriteFile(log, []byte(violationName), 0o600))
+		require.NoError(t, again.write())
+		assert.NoFileExists(t, log)
+	})
+	t.Run("too many VMs for the host", func(t *testing.T) {
+		require.NoError(t, checkMemory(1))
+		assert.Error(t, checkMemory(1<<30))
+	})
 	t.Run("no VMs", func(t *testing.T) {
 		wrong := config
 		wrong.VMs = 0
