driftsoak: count the promises that VMs have logged as violated as broken ones

The logs' lines "promise violated" become events of the record, and break a run unless the host stood still from contactMs before the stop on. Shown to fire on a planted log and on a planted record. Tests: go test -race -cpu 1 ./internal/driftsoak, TestSoakPlannedStops left out.

--- a/cmd/driftsoak/main.go
+++ b/cmd/driftsoak/main.go
@@ -149,6 +149,9 @@
 		}
 		fmt.Printf("  %s\n", f)
 	}
+	for _, e := range r.Violations {
+		fmt.Printf("  %.3f s: %s has logged a violated promise: %s\n", e.At, e.VM, e.Note)
+	}
 	if len(r.Findings())+len(r.Violations) == 0 && !c.Keep {
 		if err := os.RemoveAll(config.Dir); err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- a/internal/driftsoak/event.go
+++ b/internal/driftsoak/event.go
@@ -47,6 +47,8 @@
 	Changed Kind = "changed"
 	// Held: the host has not run this process for the last Left seconds.
 	Held Kind = "held"
+	// Violated: a VM has logged that it has violated a promise.
+	Violated Kind = "violated"
 	// Ended: the load has ended.
 	Ended Kind = "ended"
 )
--- a/internal/driftsoak/judge.go
+++ b/internal/driftsoak/judge.go
@@ -35,11 +35,11 @@
 	// Denied requests may run at most once, and ran though they were refused.
 	Denied []Finding `json:"denied"`
 	// Violations are the promises that VMs have logged as violated.
-	Violations []string `json:"violations"`
+	Violations []Event `json:"violations"`
 }
 
-// Broken reports whether a rule of the platform was broken.
-func (r Report) Broken() bool { return len(r.Lost)+len(r.Twice)+len(r.Denied) > 0 }
+// Broken reports whether a promise was broken.
+func (r Report) Broken() bool { return len(r.Lost)+len(r.Twice)+len(r.Denied)+len(r.Violations) > 0 }
 
 // Finding is one request that broke a promise.
 type Finding struct {
@@ -74,6 +74,7 @@
 	terms, hups map[string][]float64
 	updates     []float64
 	held        []Event
+	violated    []Event
 	end         float64
 }
 
@@ -98,6 +99,11 @@
 	for _, e := range plan.held {
 		r.Held += e.Left
 	}
+	for _, e := range plan.violated {
+		if !plan.heldWithin(e.At-grace.Seconds()-contact.Seconds(), e.At) {
+			r.Violations = append(r.Violations, e)
+		}
+	}
 	return r
 }
 
@@ -132,6 +138,8 @@
 		p.updates = append(p.updates, e.At)
 	case Held:
 		p.held = append(p.held, e)
+	case Violated:
+		p.violated = append(p.violated, e)
 	default:
 	}
 }
@@ -195,7 +203,7 @@
 	term, stopped := plan.stopOf(t)
 	finding := t.finding(term, "no planned work")
 	excuse := t.excuse(term, stopped)
-	if plan.heldBeside(t) {
+	if plan.heldWithin(t.sent.At-contact.Seconds(), t.end.At) {
 		excuse = "the host stood still"
 	}
 	switch {
@@ -231,12 +239,9 @@
 	})
 }
 
-// heldBeside reports whether the host stood still from contact before the request to its
-// end.
-func (p planned) heldBeside(t *trace) bool {
-	return slices.ContainsFunc(p.held, func(e Event) bool {
-		return e.At >= t.sent.At-contact.Seconds() && e.At-e.Left <= t.end.At
-	})
+// heldWithin reports whether the host stood still at any time between two times.
+func (p planned) heldWithin(from, until float64) bool {
+	return slices.ContainsFunc(p.held, func(e Event) bool { return e.At >= from && e.At-e.Left <= until })
 }
 
 // reloaded reports whether the request was sent and cut beside a SIGHUP.
--- a/internal/driftsoak/judge_test.go
+++ b/internal/driftsoak/judge_test.go
@@ -1,6 +1,7 @@
 package driftsoak
 
 import (
+	"os"
 	"path/filepath"
 	"testing"
 
@@ -147,6 +148,31 @@
 	}
 }
 
+func TestJudgeOfViolations(t *testing.T) {
+	violated := Event{At: 20, Kind: Violated, VM: "vm-1", Note: "graceful"}
+	t.Run("logged by a VM", func(t *testing.T) {
+		r := Judge([]Event{violated})
+		assert.Len(t, r.Violations, 1)
+		assert.True(t, r.Broken())
+	})
+	t.Run("beside a host that stood still", func(t *testing.T) {
+		assert.False(t, Judge([]Event{{At: 12, Kind: Held, Left: 1}, violated}).Broken())
+	})
+	t.Run("read from the logs", func(t *testing.T) {
+		dir := t.TempDir()
+		record, err := NewRecord(filepath.Join(dir, RecordFile))
+		require.NoError(t, err)
+		log := `{"name":"vm stopped","vm":"vm-1","time":"2026-01-02T03:04:05.000Z"}` + "\n" +
+			`{"name":"promise violated","vm":"vm-1","subject":"graceful","msg":"stopped with 2 requests in flight","time":"2026-01-02T03:04:05.000Z"}`
+		require.NoError(t, os.WriteFile(filepath.Join(dir, "vm-1.log"), []byte(log), 0o600))
+		require.NoError(t, record.addViolations(dir))
+		events, err := record.Close()
+		require.NoError(t, err)
+		require.Len(t, Judge(events).Violations, 1)
+		assert.Equal(t, "graceful: stopped with 2 requests in flight", events[0].Note)
+	})
+}
+
 func TestJudgeOfRecord(t *testing.T) {
 	path := filepath.Join(t.TempDir(), RecordFile)
 	record, err := NewRecord(path)
--- a/internal/driftsoak/run.go
+++ b/internal/driftsoak/run.go
@@ -32,7 +32,7 @@
 	ConfigFile = "config.json"
 	logPattern = "vm-*.log"
 	// violationName is the name of the event that a VM logs for a violated promise.
-	violationName = `"promise violated"`
+	violationName = "promise violated"
 )
 
 // Run plays a run and judges it. The VMs are ended when it returns.
@@ -52,36 +52,39 @@
 		return report, err
 	}
 	errPlay := play(ctx, c, record)
+	errLogs := record.addViolations(c.Dir)
 	events, err := record.Close()
-	if errPlay != nil {
-		return report, errPlay
-	}
-	if err != nil {
-		return report, err
+	for _, failure := range []error{errPlay, errLogs, err} {
+		if failure != nil {
+			return report, failure
+		}
 	}
-	report = Judge(events)
-	report.Violations, err = readViolations(c.Dir)
-	return report, err
+	return Judge(events), nil
 }
 
-// readViolations returns the lines of the VMs' logs that name a violated promise.
-func readViolations(dir string) (lines []string, err error) {
+// addViolations adds the events of the VMs' logs that name a violated promise.
+func (r *Record) addViolations(dir string) error {
 	logs, err := filepath.Glob(filepath.Join(dir, logPattern))
 	if err != nil {
-		return nil, err
+		return err
 	}
 	for _, path := range logs {
 		data, err := os.ReadFile(path)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		for line := range strings.Lines(string(data)) {
-			if strings.Contains(line, violationName) {
-				lines = append(lines, strings.TrimSpace(line))
+			var logged struct {
+				Name, VM, Subject, Msg string
+				Time                   time.Time
+			}
+			// A line that is cut off is no event.
+			if json.Unmarshal([]byte(line), &logged) == nil && logged.Name == violationName {
+				r.AddAt(logged.Time, Event{Kind: Violated, VM: logged.VM, Note: logged.Subject + ": " + logged.Msg})
 			}
 		}
 	}
-	return lines, nil
+	return nil
 }
 
 // checkMemory reports VMs that would use more than half of the host's memory.
--- a/internal/driftsoak/soak_test.go
+++ b/internal/driftsoak/soak_test.go
@@ -49,6 +49,7 @@
 	assert.Empty(t, r.Lost, "lost")
 	assert.Empty(t, r.Twice, "twice")
 	assert.Empty(t, r.Denied, "denied")
+	assert.Empty(t, r.Violations, "violations in the logs")
 }
 
 // TestSoakPlannedStops guards against requests that are cut off without an answer when the
