driftsoak: VMs start again without bootstrap, as on the platform

The settings file kept bootstrap = true for all starts, which is meant for the first start of the whole fleet alone, so that VMs that started again took themselves for new ones. No test failed by it.

--- a/internal/driftsoak/run.go
+++ b/internal/driftsoak/run.go
@@ -158,6 +158,11 @@
 	if err := awaitReady(ctx, o.vms); err != nil {
 		return err
 	}
+	for _, m := range o.vms {
+		if err := m.writeSettings(false); err != nil {
+			return err
+		}
+	}
 	sleep(ctx, settleTime)
 	return o.playLoad(ctx)
 }
--- a/internal/driftsoak/vm.go
+++ b/internal/driftsoak/vm.go
@@ -95,6 +95,8 @@
 	port             int
 	config           Config
 	record           *Record
+	seeds            []string
+	store            string
 
 	mu      sync.Mutex
 	process *os.Process
@@ -109,6 +111,7 @@
 	for i := range c.VMs {
 		vms = append(vms, &vm{
 			name: fmt.Sprintf("vm-%d", i+1), ip: n.vm(i + 1), domain: domainName(i), port: n.port, config: c, record: record,
+			store: n.store(),
 		})
 	}
 	var seeds []string
@@ -116,7 +119,8 @@
 		seeds = append(seeds, m.address(controlPort))
 	}
 	for _, m := range vms {
-		if err := m.writeSettings(seeds, n.store(), true); err != nil {
+		m.seeds = seeds
+		if err := m.writeSettings(true); err != nil {
 			return nil, err
 		}
 	}
@@ -125,8 +129,9 @@
 
 func (m *vm) settingsPath() string { return filepath.Join(m.config.Dir, m.name+".toml") }
 
-// writeSettings writes the settings file as the platform does.
-func (m *vm) writeSettings(seeds []string, store string, bootstrap bool) error {
+// writeSettings writes the settings file as the platform does. Bootstrap is set for the
+// first start of the whole fleet.
+func (m *vm) writeSettings(bootstrap bool) error {
 	zones := make(map[string]string)
 	for i := range domainCount {
 		zones[domainName(i)] = region
@@ -134,7 +139,7 @@
 	data, err := toml.Marshal(map[string]any{
 		"node": m.name, "role": "vm", "class": "front", "serves": []string{"front", "control", "directory"},
 		"ip": m.ip, "zone": m.domain, "region": region, "internalPorts": []int{m.port, m.port + internalPorts},
-		"seeds": seeds, "bootstrap": bootstrap, "inFaultBudget": false, "discovery": "platform", "entry": "directory",
+		"seeds": m.seeds, "bootstrap": bootstrap, "inFaultBudget": false, "discovery": "platform", "entry": "directory",
 		"beatIntervalMs": heartbeat.Milliseconds(),
 		"contracts":      []string{"base", "drain", "config", "cost", "retry", "recover", "scatter", "places", "platform"},
 		"zones":          zones,
@@ -152,7 +157,7 @@
 			"recoveryS": 12, "ttl_max_s": 5,
 		},
 		"platform": map[string]any{
-			"address": store, "form": "read", "writesPerS": 400, "readsPerS": 2000, "historyS": 20,
+			"address": m.store, "form": "read", "writesPerS": 400, "readsPerS": 2000, "historyS": 20,
 			"maxValueBytes": 1 << 20, "minTtlMs": 1000,
 		},
 	})
