Never write the address of an upstream while attempts read it

Each new view wrote the whole published state of every upstream, also its ID, service and address, which attempts and the log read without the lock. Callers saw nothing of it so far: the values written are the same. The race detector calls it undefined.

A view now writes only what may change.

Class: state of an upstream that is read without the lock. The other reads without the lock are of the same three fields.

--- a/internal/driftrelay/upstream.go
+++ b/internal/driftrelay/upstream.go
@@ -120,7 +120,8 @@
 		e.coldUntil = now.Add(u.ColdPeriod)
 	}
 	e.removedAt = time.Time{}
-	e.Upstream = u
+	// Attempts read ID, Service and Address without the lock; they never change.
+	e.Domain, e.Slots, e.Leaving, e.ColdPeriod = u.Domain, u.Slots, u.Leaving, u.ColdPeriod
 }
 
 // acceptsRequests reports whether the upstream may get new requests.
