Take an upstream that says it leaves in its replies as leaving

Callers saw requests go on to an upstream that had announced its end in every reply, for as long as its published entry did not say so, and would have lost those that it did not finish. Nothing read Server-Leaving.

The first reply with the sign now counts like the published mark, at this VM and, by gossip, at the others. Requests that wait for a connection to the upstream go elsewhere, unless it is the last resort. The sign names the incarnation (born), outlives an entry that expires and returns, and ends when the published mark is taken back or the upstream restarts. Signs in a reply that another VM passed on, or at an address that now belongs to another upstream, are not applied to the wrong one.

--- a/internal/driftexchange/exchange.go
+++ b/internal/driftexchange/exchange.go
@@ -21,6 +21,7 @@
 	"bytes"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -48,6 +49,8 @@
 	// RateLimit carries the requests a second that the upstream accepts from all
 	// callers together. Replies have it while the upstream limits its rate.
 	RateLimit string
+	// Leaving is set to 1 in the replies of an upstream that is about to end.
+	Leaving string
 	// PartSignatures lists the signatures of the merged shard replies.
 	PartSignatures string
 	// MissingParts carries the number of shards that an answer lacks.
@@ -136,6 +139,12 @@
 	return perSecond, true
 }
 
+// ParseLeaving reports whether one of the values of the header says that the
+// upstream leaves.
+func ParseLeaving(values []string) bool {
+	return slices.ContainsFunc(values, func(text string) bool { return strings.TrimSpace(text) == "1" })
+}
+
 // encode returns the request line and headers as they are sent.
 func (r *Request) encode(h Headers, expect string, left time.Duration) ([]byte, error) {
 	var b bytes.Buffer
--- a/internal/driftexchange/exchange_test.go
+++ b/internal/driftexchange/exchange_test.go
@@ -218,3 +218,12 @@
 		assert.False(t, ok, text)
 	}
 }
+
+func TestParseLeaving(t *testing.T) {
+	for _, values := range [][]string{{"1"}, {" 1 "}, {"0", "1"}} {
+		assert.True(t, ParseLeaving(values), values)
+	}
+	for _, values := range [][]string{nil, {""}, {"0"}, {"-1"}, {"1.0"}, {"11"}, {"yes"}, {"1, 0"}, {"NaN"}} {
+		assert.False(t, ParseLeaving(values), values)
+	}
+}
--- a/internal/driftgossip/gossip.go
+++ b/internal/driftgossip/gossip.go
@@ -125,6 +125,7 @@
 	client          ChangesClient
 	onNewerRevision func()
 	onSuspect       func(upstream string, span time.Duration)
+	onLeaving       func(LeavingUpstream) (isNew bool)
 	onChange        func([]MembershipChange)
 	onDomains       func(unreached []string)
 	loans           LoanHandler
@@ -157,6 +158,8 @@
 	// digests holds the digests by domain, for digestKey.
 	digests   map[string]uint64
 	digestKey digestKey
+	// leavings are the signs of leaving upstreams that are being passed on.
+	leavings []leavingNews
 	// announce is set while a new revision has not been announced.
 	announce bool
 	// newsSince is when a revision that this VM lacks was first heard of.
@@ -221,7 +224,7 @@
 func New(self Self, seeds []string, socket net.PacketConn, replica *driftstate.Replica, changesClient ChangesClient, opts ...Option) *Fleet {
 	f := &Fleet{
 		self: self, seeds: seeds, socket: socket, replica: replica, client: changesClient,
-		onNewerRevision: func() {}, onSuspect: func(string, time.Duration) {}, onChange: func([]MembershipChange) {}, onDomains: func([]string) {},
+		onNewerRevision: func() {}, onSuspect: func(string, time.Duration) {}, onLeaving: func(LeavingUpstream) bool { return false }, onChange: func([]MembershipChange) {}, onDomains: func([]string) {},
 		roundRequests:       make(chan struct{}, 1),
 		suspectReports:      make(chan *driftgossippb.Suspect, maxQueuedSuspects),
 		introductionLimiter: rate.NewLimiter(introductionsPerSecond, introductionsPerSecond),
--- a/internal/driftgossip/receive.go
+++ b/internal/driftgossip/receive.go
@@ -53,6 +53,7 @@
 	for _, s := range message.GetSuspects() {
 		f.onSuspect(s.GetUpstream(), time.Duration(s.GetSpan())*time.Millisecond)
 	}
+	f.handleLeavings(message)
 	if len(outdated) > 0 {
 		f.writeTo(sender.GetAddress(), func(m *driftgossippb.Datagram) { m.Entries = outdated })
 	}
--- a/internal/driftgossip/round.go
+++ b/internal/driftgossip/round.go
@@ -51,7 +51,7 @@
 func (f *Fleet) nextRound() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.table.changes)+len(f.table.outbound) > 0 {
+	if len(f.table.changes)+len(f.table.outbound)+len(f.leavings) > 0 {
 		return changePeriod
 	}
 	return heartbeatPeriod
--- a/internal/driftgossip/send.go
+++ b/internal/driftgossip/send.go
@@ -24,7 +24,8 @@
 	changes := f.membershipChanges()
 	near := &driftgossippb.Datagram{Sender: f.selfEntry(now), Entries: f.table.changes.take(f.table.members, maxRoundDatagrams*maxDatagramEntries)}
 	nearTargets, plainTargets, deadVMs := f.roundTargets()
-	if len(near.Entries) > 0 || f.announce {
+	leavings := f.takeLeavings()
+	if len(near.Entries) > 0 || f.announce || len(leavings) > 0 {
 		nearTargets = append(nearTargets, addresses(f.table.rumorTargets())...)
 	}
 	f.announce = false
@@ -46,6 +47,9 @@
 	f.write(&driftgossippb.Datagram{Sender: near.GetSender()}, plainTargets...)
 	f.write(far, farTargets...)
 	f.write(repair, repairTargets...)
+	if len(leavings) > 0 {
+		f.write(&driftgossippb.Datagram{Sender: near.GetSender(), Leavings: leavings}, unique(slices.Concat(nearTargets, farTargets))...)
+	}
 	for _, m := range slices.Concat(suspectVMs, deadVMs, probes) {
 		f.sendSuspicion(near.GetSender(), m)
 	}
--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -96,11 +96,14 @@
 		listed[u.ID] = true
 		e, ok := r.upstreams[u.ID]
 		if ok && e.Address == u.Address && e.Service == u.Service {
+			r.recordPublished(e, u, now)
 			e.applyPublished(u, now)
+			r.applyNotice(e)
 			continue
 		}
 		e = newUpstreamState(u, now)
 		e.applyPublished(u, now)
+		r.applyNotice(e)
 		r.upstreams[u.ID] = e
 	}
 	for id, e := range r.upstreams {
@@ -149,11 +152,14 @@
 	r.mu.Lock()
 	r.sendRate.update(now)
 	var closing []*driftexchange.Conn
-	before, limits := len(r.upstreams), 0
+	before, limits, leaving := len(r.upstreams), 0, 0
 	for id, e := range r.upstreams {
 		if e.rateLimit.named {
 			limits++
 		}
+		if !e.leavingAt.IsZero() {
+			leaving++
+		}
 		removed := !e.removedAt.IsZero() && now.Sub(e.removedAt) > removedGrace
 		closing = append(closing, e.removeExpiredConns(now, removed)...)
 		if removed && len(e.inFlight) == 0 {
@@ -166,7 +172,9 @@
 	if len(r.upstreams) < before {
 		r.rebuildIndex()
 	}
+	r.dropOldNotices(now)
 	r.metrics.setRateLimits(limits)
+	r.metrics.setLeaving(leaving)
 	r.mu.Unlock()
 	for _, c := range closing {
 		c.Close()
--- a/internal/driftrelay/metric.go
+++ b/internal/driftrelay/metric.go
@@ -13,6 +13,7 @@
 	sends    *prometheus.CounterVec
 	limited  *prometheus.CounterVec
 	limits   prometheus.Gauge
+	leaving  prometheus.Gauge
 }
 
 // latencyBuckets are the bounds of the latency histogram, in seconds.
@@ -36,8 +37,11 @@
 		limits: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "drift_rate_limits", Help: "Upstreams that name a rate limit to this VM.",
 		}),
+		leaving: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "drift_leaving_upstreams", Help: "Upstreams that this VM knows to be leaving.",
+		}),
 	}
-	registerer.MustRegister(m.requests, m.latency, m.sends, m.limited, m.limits)
+	registerer.MustRegister(m.requests, m.latency, m.sends, m.limited, m.limits, m.leaving)
 	return m
 }
 
@@ -66,6 +70,12 @@
 	}
 }
 
+func (m *Metrics) setLeaving(upstreams int) {
+	if m != nil {
+		m.leaving.Set(float64(upstreams))
+	}
+}
+
 func (m *Metrics) observeAnswer(route string, cause Cause, took time.Duration) {
 	if m != nil {
 		m.requests.WithLabelValues(route, string(cause)).Inc()
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -37,6 +37,7 @@
 	checker       *driftcheck.Checker
 	events        driftevent.Recorder
 	reportSuspect func(upstream string, duration time.Duration)
+	reportLeaving func(LeavingSign)
 	viewAge       func() time.Duration
 	roundRobin    *driftroute.WeightedRoundRobin
 	ledger        *driftshare.Ledger
@@ -48,6 +49,7 @@
 	table     *driftroute.Table
 	upstreams map[string]*upstreamState
 	services  map[string][]*upstreamState
+	notices   map[string]*notice
 	// serviceDomains holds the failure domains with an upstream, by service.
 	serviceDomains map[string]map[string]bool
 	outSince       map[string]time.Time
@@ -137,8 +139,9 @@
 		self: self, headers: headers, rule: DefaultBudget(), events: events,
 		checker: driftcheck.NewChecker(events), dialer: driftexchange.DialTCP,
 		roundRobin:    driftroute.NewWeightedRoundRobin(),
-		reportSuspect: func(string, time.Duration) {}, viewAge: func() time.Duration { return 0 },
+		reportSuspect: func(string, time.Duration) {}, reportLeaving: func(LeavingSign) {}, viewAge: func() time.Duration { return 0 },
 		upstreams: make(map[string]*upstreamState), services: make(map[string][]*upstreamState),
+		notices:  make(map[string]*notice),
 		outSince: make(map[string]time.Time), budgets: make(map[string]*Budget),
 		typicalTimes: make(map[string]time.Duration), longest: make(map[string]*recentMax),
 		stopping: make(chan struct{}), sendRate: rateMeter{since: time.Now()},
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/almonddrift/almonddrift/internal/driftexchange"
 	"github.com/almonddrift/almonddrift/internal/driftroute"
 )
@@ -267,6 +269,10 @@
 	case driftexchange.NotRun:
 		s.refused++
 		request.addNote(l.attempt, now, "not run: "+result.Err.Error())
+		if errors.Is(result.Err, errWithdrawn) {
+			// It may still be the last resort.
+			request.tried = slices.DeleteFunc(request.tried, func(e *upstreamState) bool { return e == l.attempt.upstream })
+		}
 	}
 	if len(request.inFlight) == 0 {
 		s.retry(request, now)
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -19,7 +20,7 @@
 // result is delivered once.
 func (r *Relay) startAttempt(q *Query, e *upstreamState, expected time.Duration, extra bool, deliver deliverFunc) (f *attempt, send func()) {
 	now := time.Now()
-	f = &attempt{upstream: e, started: now, expected: expected, version: q.Table.Config.Version}
+	f = &attempt{upstream: e, started: now, expected: expected, version: q.Table.Config.Version, incarnation: e.Incarnation}
 	r.countLimited(q, e, extra, now)
 	e.inFlight = append(e.inFlight, f)
 	r.countInFlight(q, 1)
@@ -75,17 +76,28 @@
 		return
 	}
 	r.mu.Lock()
-	abandoned := f.abandoned
-	f.conn, f.sent = c, !abandoned
+	var withheld error
+	switch {
+	case f.abandoned:
+		withheld = errAbandoned
+	case f.leftSince():
+		withheld = errWithdrawn
+	}
+	f.conn, f.sent = c, withheld == nil
 	r.mu.Unlock()
-	if abandoned {
-		r.finishAttempt(f, q, driftexchange.NotRun{Err: errAbandoned}, deliver)
+	if withheld != nil {
+		r.finishAttempt(f, q, driftexchange.NotRun{Err: withheld}, deliver)
 		return
 	}
 	r.sendAttempt(f, q, deliver)
 }
 
-const errAbandoned = errors.ConstError("attempt abandoned")
+// Errors of attempts that were not sent on their connection.
+const (
+	errAbandoned = errors.ConstError("attempt abandoned")
+	// errWithdrawn means that the upstream has asked meanwhile for no more requests.
+	errWithdrawn = errors.ConstError("withdrawn from the upstream")
+)
 
 func (r *Relay) sendAttempt(f *attempt, q *Query, deliver deliverFunc) {
 	deadline := q.Deadline.Add(-replyMargin)
@@ -102,6 +114,7 @@
 	e := f.upstream
 	e.removeAttempt(f)
 	r.countInFlight(q, -1)
+	sign, leaves := r.recordLeaving(f, replyHeader(result), now)
 	switch result := result.(type) {
 	case driftexchange.Done:
 		r.holdReply(q, f, result.Reply)
@@ -131,9 +144,28 @@
 		f.conn.Close()
 	}
 	r.mu.Unlock()
+	if leaves {
+		r.reportLeaving(sign)
+	}
 	deliver(f, result)
 }
 
+// replyHeader returns the header by which the upstream answered, nil if there is none
+// or if another upstream answered in its place.
+func replyHeader(result driftexchange.Result) http.Header {
+	switch result := result.(type) {
+	case driftexchange.Done:
+		return result.Reply.Header
+	case driftexchange.NotRun:
+		if !result.Misdirected {
+			return result.Header
+		}
+	case driftexchange.Unknown:
+		return result.Header
+	}
+	return nil
+}
+
 // minFailureStatus is the lowest status that counts as a failure of the
 // upstream itself.
 const minFailureStatus = 500
@@ -146,7 +178,7 @@
 	case result.Refused:
 		e.markReachable()
 		e.recordOutcome(now, false, true)
-	case !errors.Is(result.Err, errAbandoned):
+	case !errors.Is(result.Err, errAbandoned) && !errors.Is(result.Err, errWithdrawn):
 		e.markUnreachable(now)
 	}
 }
--- a/internal/driftrelay/simulation_test.go
+++ b/internal/driftrelay/simulation_test.go
@@ -43,18 +43,29 @@
 	// limitUntil.
 	rateLimit             float64
 	limitFrom, limitUntil time.Time
-	slots                 chan struct{}
-	rng                   *rand.Rand
+	// leavingFrom is from when replies say that the upstream leaves, zero if never.
+	leavingFrom time.Time
+	slots       chan struct{}
+	rng         *rand.Rand
 
-	mu           sync.Mutex
-	runs         map[string]int
-	arrived      int
-	arrivals     []time.Time
+	mu       sync.Mutex
+	runs     map[string]int
+	arrived  int
+	arrivals []time.Time
+	received []receivedRequest
+	// signed holds when a reply first told each caller that the upstream leaves.
+	signed       map[string]time.Time
 	conns        int
 	maxConns     int
 	failedWrites int
 }
 
+// receivedRequest is a request that reached an upstream.
+type receivedRequest struct {
+	id, caller string
+	at         time.Time
+}
+
 // simulation is a set of fake upstreams by address.
 type simulation struct {
 	upstreams map[string]*fakeUpstream
@@ -63,7 +74,7 @@
 
 var testHeaders = driftexchange.Headers{
 	Request: "X-Id", Deadline: "X-Left", Expect: "X-Expect", Signature: "X-Proof", NotRun: "X-Not-Run",
-	Load: "X-Load", RateLimit: "X-Limit", PartSignatures: "X-Parts", MissingParts: "X-Missing",
+	Load: "X-Load", RateLimit: "X-Limit", Leaving: "X-Leaving", PartSignatures: "X-Parts", MissingParts: "X-Missing",
 }
 
 const (
@@ -87,7 +98,7 @@
 			address := fmt.Sprintf("10.%d.0.%d:80", domain, shard)
 			s := &fakeUpstream{
 				name: fmt.Sprintf("%s-%d", service, domain), serviceTime: work, slowdown: 0.8 + 0.5*seed.Float64(),
-				slots: make(chan struct{}, slots), bodySize: recordSize, runs: make(map[string]int),
+				slots: make(chan struct{}, slots), bodySize: recordSize, runs: make(map[string]int), signed: make(map[string]time.Time),
 				pauseOffset: time.Duration(seed.Int64N(int64(5 * time.Second))),
 				rng:         rand.New(rand.NewPCG(testSeed, uint64(shard*testDomains+domain))),
 			}
@@ -138,6 +149,11 @@
 }
 
 func (w *simulation) dial(ctx context.Context, address string) (net.Conn, error) {
+	return w.dialAs(ctx, "", address)
+}
+
+// dialAs opens a connection of the named caller.
+func (w *simulation) dialAs(ctx context.Context, caller, address string) (net.Conn, error) {
 	s, ok := w.upstreams[address]
 	if !ok {
 		return nil, errors.NotFoundf("upstream at %s", address)
@@ -151,7 +167,7 @@
 	s.conns++
 	s.maxConns = max(s.maxConns, s.conns)
 	s.mu.Unlock()
-	go s.serve(far)
+	go s.serve(far, caller)
 	return &countedConn{Conn: near, upstream: s}, nil
 }
 
@@ -173,7 +189,7 @@
 	return c.Conn.Close()
 }
 
-func (s *fakeUpstream) serve(conn net.Conn) {
+func (s *fakeUpstream) serve(conn net.Conn, caller string) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for first := true; ; first = false {
@@ -185,23 +201,24 @@
 		if first {
 			time.Sleep(s.handshake)
 		}
-		if !s.answer(conn, request.Header.Get(testHeaders.Request)) {
+		if !s.answer(conn, caller, request.Header.Get(testHeaders.Request)) {
 			return
 		}
 	}
 }
 
 // answer runs one request, and reports whether the connection stays open.
-func (s *fakeUpstream) answer(conn net.Conn, id string) bool {
+func (s *fakeUpstream) answer(conn net.Conn, caller, id string) bool {
 	s.mu.Lock()
 	s.arrived++
 	s.arrivals = append(s.arrivals, time.Now())
+	s.received = append(s.received, receivedRequest{id: id, caller: caller, at: time.Now()})
 	refused := s.rng.Float64() < s.refusalRate
 	lost := s.rng.Float64() < s.replyLossRate
 	work := time.Duration(float64(s.serviceTime) * s.slowdown * (0.6 + 0.8*s.rng.Float64()))
 	s.mu.Unlock()
 	if refused {
-		return writeReply(conn, "503 Service Unavailable", testHeaders.NotRun+": 1\r\n", id, "")
+		return writeReply(conn, "503 Service Unavailable", testHeaders.NotRun+": 1\r\n"+s.leavingHeader(caller), id, "")
 	}
 	s.slots <- struct{}{}
 	defer func() { <-s.slots }()
@@ -212,7 +229,7 @@
 	if lost {
 		return false
 	}
-	ok := writeReply(conn, "200 OK", testHeaders.Signature+": "+s.name+"."+id+"\r\n"+s.limitHeader(), id, strings.Repeat("r", s.bodySize))
+	ok := writeReply(conn, "200 OK", testHeaders.Signature+": "+s.name+"."+id+"\r\n"+s.limitHeader()+s.leavingHeader(caller), id, strings.Repeat("r", s.bodySize))
 	if !ok {
 		s.mu.Lock()
 		s.failedWrites++
@@ -229,6 +246,19 @@
 	return fmt.Sprintf("%s: %.1f\r\n", testHeaders.RateLimit, s.rateLimit)
 }
 
+// leavingHeader returns the header that says that the upstream leaves, if it does.
+func (s *fakeUpstream) leavingHeader(caller string) string {
+	if s.leavingFrom.IsZero() || time.Now().Before(s.leavingFrom) {
+		return ""
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.signed[caller]; !ok {
+		s.signed[caller] = time.Now()
+	}
+	return testHeaders.Leaving + ": 1\r\n"
+}
+
 // pauseLeft returns how much of the current pause is left.
 func (s *fakeUpstream) pauseLeft() time.Duration {
 	if s.pauseEvery == 0 {
--- a/internal/driftrelay/upstream.go
+++ b/internal/driftrelay/upstream.go
@@ -11,11 +11,14 @@
 
 // Upstream is one upstream as the platform publishes it.
 type Upstream struct {
-	// ID identifies the incarnation of the upstream.
-	ID      string
-	Service string
-	Address string
-	Domain  string
+	// ID identifies the upstream, mostly one incarnation of it.
+	ID string
+	// Incarnation tells apart the starts of an upstream that keeps its ID; a later
+	// one is greater.
+	Incarnation int64
+	Service     string
+	Address     string
+	Domain      string
 	// Slots is the number of requests that it runs concurrently.
 	Slots int
 	// Leaving is set once it has announced that it will end.
@@ -96,6 +99,8 @@
 	expected time.Duration
 	// version is that of the configuration by which the upstream was chosen.
 	version int64
+	// incarnation is that of the upstream when it was chosen.
+	incarnation int64
 	// abandoned is set when the result is no longer needed.
 	abandoned bool
 }
@@ -110,18 +115,18 @@
 
 // applyPublished applies the published state of the upstream.
 func (e *upstreamState) applyPublished(u Upstream, now time.Time) {
+	if u.Incarnation != e.Incarnation || (e.Leaving && !u.Leaving) {
+		e.leavingAt = time.Time{}
+	}
 	if u.Leaving && e.leavingAt.IsZero() {
 		e.leavingAt = now
 	}
-	if !u.Leaving {
-		e.leavingAt = time.Time{}
-	}
 	if u.ColdPeriod > 0 && u.ColdPeriod != e.ColdPeriod {
 		e.coldUntil = now.Add(u.ColdPeriod)
 	}
 	e.removedAt = time.Time{}
 	// Attempts read ID, Service and Address without the lock; they never change.
-	e.Domain, e.Slots, e.Leaving, e.ColdPeriod = u.Domain, u.Slots, u.Leaving, u.ColdPeriod
+	e.Incarnation, e.Domain, e.Slots, e.Leaving, e.ColdPeriod = u.Incarnation, u.Domain, u.Slots, u.Leaving, u.ColdPeriod
 }
 
 // acceptsRequests reports whether the upstream may get new requests.
