Send nothing to an upstream for the time that it has named in a refusal

Callers saw their requests offered, and refused again, at upstreams that had answered 503 with Retry-After, and were told the time of one upstream though others could serve them. Nothing read the header: a refusal was only a cost in the choice of an upstream.

--- a/internal/driftevent/catalogue.go
+++ b/internal/driftevent/catalogue.go
@@ -45,6 +45,8 @@
 	UpstreamLeaving   Code = 303
 	RateLimitNamed    Code = 304
 	RateLimitLifted   Code = 305
+	UpstreamClosed    Code = 306
+	UpstreamOpened    Code = 307
 	ConnectionOpened  Code = 310
 	ConnectionClosed  Code = 311
 	ConnectionSilent  Code = 312
@@ -117,6 +119,8 @@
 	{UpstreamLeaving, "upstream leaving", severityInfo},
 	{RateLimitNamed, "rate limit named", severityWarning},
 	{RateLimitLifted, "rate limit lifted", severityInfo},
+	{UpstreamClosed, "upstream closed", severityWarning},
+	{UpstreamOpened, "upstream opened", severityInfo},
 	{ConnectionOpened, "connection opened", severityTrace},
 	{ConnectionClosed, "connection closed", severityTrace},
 	{ConnectionSilent, "connection silent", severityWarning},
--- a/internal/driftexchange/exchange.go
+++ b/internal/driftexchange/exchange.go
@@ -51,6 +51,9 @@
 	RateLimit string
 	// Leaving is set to 1 in the replies of an upstream that is about to end.
 	Leaving string
+	// RetryAfter carries, in a refusal with status 503, how many seconds the upstream
+	// wants no requests of this caller.
+	RetryAfter string
 	// PartSignatures lists the signatures of the merged shard replies.
 	PartSignatures string
 	// MissingParts carries the number of shards that an answer lacks.
@@ -90,7 +93,8 @@
 	Misdirected bool
 	// Refused is set if the upstream received and refused the request.
 	Refused bool
-	// Header is that of the refusal, nil if there was none.
+	// Status and Header are those of the refusal, 0 and nil if there was none.
+	Status int
 	Header http.Header
 	Err    error
 }
@@ -120,9 +124,9 @@
 func classifyReply(r Reply, h Headers) Result {
 	switch {
 	case r.Status == http.StatusMisdirectedRequest:
-		return NotRun{Misdirected: true, Refused: true, Header: r.Header, Err: ErrRefused}
+		return NotRun{Misdirected: true, Refused: true, Status: r.Status, Header: r.Header, Err: ErrRefused}
 	case r.Header.Get(h.NotRun) != "":
-		return NotRun{Refused: true, Header: r.Header, Err: ErrRefused}
+		return NotRun{Refused: true, Status: r.Status, Header: r.Header, Err: ErrRefused}
 	case r.Status < http.StatusMultipleChoices && r.Header.Get(h.Signature) == "":
 		return Unknown{Header: r.Header, Err: ErrNoSignature}
 	default:
@@ -139,6 +143,28 @@
 	return perSecond, true
 }
 
+// ParseRetryAfter parses numbers of seconds, which may be fractional, and returns the
+// longest, at most maxRetryAfter. Other values are ignored: dates too, as the clocks of
+// two VMs may differ.
+func ParseRetryAfter(values []string) (wait time.Duration, ok bool) {
+	for _, text := range values {
+		text = strings.TrimSpace(text)
+		// ParseFloat also takes signs, words such as "inf" and hexadecimal numbers.
+		if text == "" || !strings.ContainsRune("0123456789.", rune(text[0])) || strings.ContainsAny(text, "xX_") {
+			continue
+		}
+		seconds, err := strconv.ParseFloat(text, 64)
+		if seconds <= 0 || (err != nil && !math.IsInf(seconds, 1)) {
+			continue
+		}
+		wait, ok = max(wait, time.Duration(min(seconds, maxRetryAfter.Seconds())*float64(time.Second))), true
+	}
+	return wait, ok
+}
+
+// maxRetryAfter is the longest time that ParseRetryAfter returns.
+const maxRetryAfter = 24 * time.Hour
+
 // ParseLeaving reports whether one of the values of the header says that the
 // upstream leaves.
 func ParseLeaving(values []string) bool {
--- a/internal/driftexchange/exchange_test.go
+++ b/internal/driftexchange/exchange_test.go
@@ -227,3 +227,29 @@
 		assert.False(t, ParseLeaving(values), values)
 	}
 }
+
+func TestParseRetryAfter(t *testing.T) {
+	for _, c := range []struct {
+		values []string
+		wait   time.Duration
+	}{
+		{[]string{"2"}, 2 * time.Second},
+		{[]string{" 1.25 "}, 1250 * time.Millisecond},
+		{[]string{".5"}, 500 * time.Millisecond},
+		{[]string{"1", "x", "3"}, 3 * time.Second},
+		{[]string{"1e300"}, maxRetryAfter},
+		{[]string{strings.Repeat("9", 400)}, maxRetryAfter},
+	} {
+		wait, ok := ParseRetryAfter(c.values)
+		assert.True(t, ok, c.values)
+		assert.Equal(t, c.wait, wait, c.values)
+	}
+	for _, text := range []string{
+		"", "0", "-1", "-0", "+1", "NaN", "inf", "Infinity", "0x10", "1_0", "1, 2", "2 s", "1e", "Wed, 21 Oct 2026 07:28:00 GMT",
+	} {
+		_, ok := ParseRetryAfter([]string{text})
+		assert.False(t, ok, text)
+	}
+	_, ok := ParseRetryAfter(nil)
+	assert.False(t, ok)
+}
--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -60,7 +60,7 @@
 		return refuse(cause, retryElsewhere)
 	}
 	// Another VM may have room before this one.
-	return refuse(cause, max(retrySoon, min(s.retryAfter, retryOverload)))
+	return refuse(cause, max(retrySoon, min(s.retryAfter, retryOverload), s.returnDelay(time.Now())))
 }
 
 func (s *scatter) tryAnswerGather(now, partialAt time.Time) (Answer, bool) {
@@ -87,10 +87,15 @@
 	}
 }
 
-// passThrough returns the reply of an upstream unchanged.
+// passThrough returns the reply of an upstream unchanged, but for the time after which
+// it wants to be asked again: others may serve the caller before that.
 func (s *scatter) passThrough(reply driftexchange.Reply, cause Cause) Answer {
 	reply.Header.Del(ForwardHeader)
-	return Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body, Cause: cause, heldBytes: len(reply.Body)}
+	a := Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body, Cause: cause, heldBytes: len(reply.Body)}
+	if reply.Status == http.StatusServiceUnavailable && reply.Header.Get(s.relay.headers.RetryAfter) != "" && !isForward(s.query.Route) {
+		a.RetryAfter = max(retrySoon, s.returnDelay(time.Now()))
+	}
+	return a
 }
 
 // mergeParts returns the answer merged from the parts received so far.
--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -152,7 +152,7 @@
 	r.mu.Lock()
 	r.sendRate.update(now)
 	var closing []*driftexchange.Conn
-	before, limits, leaving := len(r.upstreams), 0, 0
+	before, limits, leaving, closed := len(r.upstreams), 0, 0, 0
 	for id, e := range r.upstreams {
 		if e.rateLimit.named {
 			limits++
@@ -160,6 +160,10 @@
 		if !e.leavingAt.IsZero() {
 			leaving++
 		}
+		if now.Before(e.closed.until) {
+			closed++
+		}
+		r.recordOpened(e, now)
 		removed := !e.removedAt.IsZero() && now.Sub(e.removedAt) > removedGrace
 		closing = append(closing, e.removeExpiredConns(now, removed)...)
 		if removed && len(e.inFlight) == 0 {
@@ -175,6 +179,7 @@
 	r.dropOldNotices(now)
 	r.metrics.setRateLimits(limits)
 	r.metrics.setLeaving(leaving)
+	r.metrics.setClosed(closed)
 	r.mu.Unlock()
 	for _, c := range closing {
 		c.Close()
@@ -316,7 +321,7 @@
 // noUpstreamReason describes, for the log, why no upstream of the service can
 // take a request. The caller holds the lock.
 func (r *Relay) noUpstreamReason(service string, tried []*upstreamState, now time.Time) string {
-	var leaving, out, unreachable int
+	var leaving, out, unreachable, closed int
 	known := r.upstreamsOf(service)
 	for _, e := range known {
 		switch {
@@ -327,10 +332,12 @@
 			out++
 		case now.Before(e.downUntil):
 			unreachable++
+		case now.Before(e.closed.until):
+			closed++
 		}
 	}
-	return fmt.Sprintf("no other upstream of %d: %d tried, %d leaving, %d in a domain that is out, %d not reachable of late",
-		len(known), len(tried), leaving, out, unreachable)
+	return fmt.Sprintf("no other upstream of %d: %d tried, %d leaving, %d in a domain that is out, %d not reachable of late, %d closed to this VM",
+		len(known), len(tried), leaving, out, unreachable, closed)
 }
 
 // coldRate returns how many requests per second this VM may send to a cold
--- a/internal/driftrelay/metric.go
+++ b/internal/driftrelay/metric.go
@@ -14,6 +14,8 @@
 	limited  *prometheus.CounterVec
 	limits   prometheus.Gauge
 	leaving  prometheus.Gauge
+	closed   prometheus.Gauge
+	turned   *prometheus.CounterVec
 }
 
 // latencyBuckets are the bounds of the latency histogram, in seconds.
@@ -40,8 +42,14 @@
 		leaving: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "drift_leaving_upstreams", Help: "Upstreams that this VM knows to be leaving.",
 		}),
+		closed: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "drift_closed_upstreams", Help: "Upstreams that want no requests of this VM for some time.",
+		}),
+		turned: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "drift_turned_away_total", Help: "Attempts that an upstream turned away for a time that it named.",
+		}, []string{"service"}),
 	}
-	registerer.MustRegister(m.requests, m.latency, m.sends, m.limited, m.limits, m.leaving)
+	registerer.MustRegister(m.requests, m.latency, m.sends, m.limited, m.limits, m.leaving, m.closed, m.turned)
 	return m
 }
 
@@ -76,6 +84,18 @@
 	}
 }
 
+func (m *Metrics) setClosed(upstreams int) {
+	if m != nil {
+		m.closed.Set(float64(upstreams))
+	}
+}
+
+func (m *Metrics) countTurnedAway(service string) {
+	if m != nil {
+		m.turned.WithLabelValues(service).Inc()
+	}
+}
+
 func (m *Metrics) observeAnswer(route string, cause Cause, took time.Duration) {
 	if m != nil {
 		m.requests.WithLabelValues(route, string(cause)).Inc()
--- a/internal/driftrelay/notice.go
+++ b/internal/driftrelay/notice.go
@@ -15,7 +15,9 @@
 	// leaving is set once it has said that it leaves, or another VM has passed that
 	// on. Withdrawn is set once it was published as leaving and then as not leaving.
 	leaving, withdrawn bool
-	// at is when the notice last changed.
+	// closed is the latest closure.
+	closed closure
+	// at is when leaving or withdrawn last changed.
 	at time.Time
 }
 
@@ -58,7 +60,7 @@
 // dropOldNotices drops notices of upstreams that are gone. The caller holds the lock.
 func (r *Relay) dropOldNotices(now time.Time) {
 	for id, n := range r.notices {
-		if _, known := r.upstreams[id]; !known && now.Sub(n.at) > noticeLifetime {
+		if _, known := r.upstreams[id]; !known && now.Sub(n.at) > noticeLifetime && now.After(n.closed.until) {
 			delete(r.notices, id)
 		}
 	}
@@ -95,7 +97,13 @@
 // lock.
 func (r *Relay) applyNotice(e *upstreamState) {
 	n, ok := r.notices[e.ID]
-	if ok && n.incarnation == e.Incarnation && n.leaving && (e.leavingAt.IsZero() || n.at.Before(e.leavingAt)) {
+	if !ok || n.incarnation != e.Incarnation {
+		return
+	}
+	if n.closed.until.After(e.closed.until) {
+		e.closed = n.closed
+	}
+	if n.leaving && (e.leavingAt.IsZero() || n.at.Before(e.leavingAt)) {
 		e.leavingAt = n.at
 	}
 }
@@ -127,8 +135,8 @@
 	return sign, r.markLeaving(sign, "said its reply", now)
 }
 
-// leftSince reports whether the upstream has begun to leave since the attempt began.
-// The caller holds the lock.
-func (f *attempt) leftSince() bool {
-	return f.started.Before(f.upstream.leavingAt)
+// withdrawn reports whether the upstream has begun to leave, or has closed, since the
+// attempt began. The caller holds the lock.
+func (f *attempt) withdrawn(now time.Time) bool {
+	return f.started.Before(f.upstream.leavingAt) || now.Before(f.upstream.closed.until)
 }
--- a/internal/driftrelay/notice_test.go
+++ b/internal/driftrelay/notice_test.go
@@ -115,6 +115,20 @@
 	return total
 }
 
+// publish gives all VMs a view.
+func (f *newsFleet) publish(v View) {
+	for _, r := range f.relays {
+		r.UpdateView(v)
+	}
+}
+
+// tick drops at all VMs the upstreams that are gone.
+func (f *newsFleet) tick() {
+	for _, r := range f.relays {
+		r.Tick()
+	}
+}
+
 func (f *newsFleet) close() {
 	for _, r := range append(f.ended, f.relays...) {
 		closeAll(r)
@@ -125,6 +139,8 @@
 // VM had an answer with the sign reached the upstream from that VM.
 func (f *newsFleet) assertDrained(t *testing.T, s *fakeUpstream) {
 	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	late := 0
 	for _, q := range s.received {
 		if signed, ok := s.signed[q.caller]; ok && f.sentAt[q.id].After(signed.Add(leavingRuleTime)) {
@@ -173,19 +189,10 @@
 					}
 				})
 				changes := map[time.Duration]func(){}
-				publish := func(v View) {
-					for _, r := range f.relays {
-						r.UpdateView(v)
-					}
-				}
 				if c.backAt > 0 {
-					changes[c.goneAt] = func() { publish(withoutUpstream(f.view, leaving[0].name)) }
-					changes[c.goneAt+removedGrace+time.Second] = func() {
-						for _, r := range f.relays {
-							r.Tick()
-						}
-					}
-					changes[c.backAt] = func() { publish(f.view) }
+					changes[c.goneAt] = func() { f.publish(withoutUpstream(f.view, leaving[0].name)) }
+					changes[c.goneAt+removedGrace+time.Second] = f.tick
+					changes[c.backAt] = func() { f.publish(f.view) }
 				}
 				if c.restartAt > 0 {
 					changes[c.restartAt] = func() { f.start(0); f.start(1) }
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -186,6 +186,7 @@
 			s.retryAfter = max(s.retryAfter, next.Sub(now))
 			hasCandidates = false
 		}
+		hasCandidates = hasCandidates || s.opensInTime(l, now)
 		if hasCandidates && !l.waiting {
 			l.notes = append(l.notes, "no room at any upstream")
 		}
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -80,7 +80,7 @@
 	switch {
 	case f.abandoned:
 		withheld = errAbandoned
-	case f.leftSince():
+	case f.withdrawn(time.Now()):
 		withheld = errWithdrawn
 	}
 	f.conn, f.sent = c, withheld == nil
@@ -114,6 +114,7 @@
 	e := f.upstream
 	e.removeAttempt(f)
 	r.countInFlight(q, -1)
+	r.recordClosure(f, result, now)
 	sign, leaves := r.recordLeaving(f, replyHeader(result), now)
 	switch result := result.(type) {
 	case driftexchange.Done:
--- a/internal/driftrelay/simulation_test.go
+++ b/internal/driftrelay/simulation_test.go
@@ -43,6 +43,10 @@
 	// limitUntil.
 	rateLimit             float64
 	limitFrom, limitUntil time.Time
+	// turnAwayFor returns for how long the upstream turns a caller away, from
+	// turnAwayFrom until turnAwayUntil.
+	turnAwayFrom, turnAwayUntil time.Time
+	turnAwayFor                 func() time.Duration
 	// leavingFrom is from when replies say that the upstream leaves, zero if never.
 	leavingFrom time.Time
 	slots       chan struct{}
@@ -55,6 +59,7 @@
 	received []receivedRequest
 	// signed holds when a reply first told each caller that the upstream leaves.
 	signed       map[string]time.Time
+	closures     []closedSpan
 	conns        int
 	maxConns     int
 	failedWrites int
@@ -66,6 +71,12 @@
 	at         time.Time
 }
 
+// closedSpan is the time for which an upstream has turned a caller away.
+type closedSpan struct {
+	caller    string
+	from, end time.Time
+}
+
 // simulation is a set of fake upstreams by address.
 type simulation struct {
 	upstreams map[string]*fakeUpstream
@@ -74,7 +85,7 @@
 
 var testHeaders = driftexchange.Headers{
 	Request: "X-Id", Deadline: "X-Left", Expect: "X-Expect", Signature: "X-Proof", NotRun: "X-Not-Run",
-	Load: "X-Load", RateLimit: "X-Limit", Leaving: "X-Leaving", PartSignatures: "X-Parts", MissingParts: "X-Missing",
+	Load: "X-Load", RateLimit: "X-Limit", Leaving: "X-Leaving", RetryAfter: "Retry-After", PartSignatures: "X-Parts", MissingParts: "X-Missing",
 }
 
 const (
@@ -215,8 +226,12 @@
 	s.received = append(s.received, receivedRequest{id: id, caller: caller, at: time.Now()})
 	refused := s.rng.Float64() < s.refusalRate
 	lost := s.rng.Float64() < s.replyLossRate
+	retryAfter := s.retryAfterHeader(caller)
 	work := time.Duration(float64(s.serviceTime) * s.slowdown * (0.6 + 0.8*s.rng.Float64()))
 	s.mu.Unlock()
+	if retryAfter != "" {
+		return writeReply(conn, "503 Service Unavailable", testHeaders.NotRun+": 1\r\n"+retryAfter+s.leavingHeader(caller), id, "")
+	}
 	if refused {
 		return writeReply(conn, "503 Service Unavailable", testHeaders.NotRun+": 1\r\n"+s.leavingHeader(caller), id, "")
 	}
@@ -246,6 +261,18 @@
 	return fmt.Sprintf("%s: %.1f\r\n", testHeaders.RateLimit, s.rateLimit)
 }
 
+// retryAfterHeader returns the header that turns the caller away, if it is. The caller
+// holds the lock.
+func (s *fakeUpstream) retryAfterHeader(caller string) string {
+	now := time.Now()
+	if s.turnAwayFor == nil || now.Before(s.turnAwayFrom) || !now.Before(s.turnAwayUntil) {
+		return ""
+	}
+	wait := s.turnAwayFor()
+	s.closures = append(s.closures, closedSpan{caller: caller, from: now, end: now.Add(wait)})
+	return fmt.Sprintf("%s: %.3f\r\n", testHeaders.RetryAfter, wait.Seconds())
+}
+
 // leavingHeader returns the header that says that the upstream leaves, if it does.
 func (s *fakeUpstream) leavingHeader(caller string) string {
 	if s.leavingFrom.IsZero() || time.Now().Before(s.leavingFrom) {
--- a/internal/driftrelay/upstream.go
+++ b/internal/driftrelay/upstream.go
@@ -84,6 +84,7 @@
 	downUntil    time.Time
 	downBackoff  time.Duration
 	rateLimit    rateLimit
+	closed       closure
 	coldSent     []bucket
 	connUnits    unitShare
 	coldUnits    unitShare
@@ -115,6 +116,10 @@
 
 // applyPublished applies the published state of the upstream.
 func (e *upstreamState) applyPublished(u Upstream, now time.Time) {
+	if u.Incarnation != e.Incarnation && !e.closed.until.IsZero() {
+		// The reply may have been one of the new incarnation.
+		e.closed.until, e.closed.trial = now, true
+	}
 	if u.Incarnation != e.Incarnation || (e.Leaving && !u.Leaving) {
 		e.leavingAt = time.Time{}
 	}
@@ -131,6 +136,12 @@
 
 // acceptsRequests reports whether the upstream may get new requests.
 func (e *upstreamState) acceptsRequests(now time.Time, outSince time.Time) bool {
+	return e.inService(now, outSince) && e.closed.allows(now, len(e.inFlight))
+}
+
+// inService reports whether the upstream may get new requests unless it is closed to
+// this VM.
+func (e *upstreamState) inService(now time.Time, outSince time.Time) bool {
 	switch {
 	case !e.removedAt.IsZero() && now.Sub(e.removedAt) > removedGrace:
 		return false
