Apply no rate limit of an upstream to the one that had its address before

An answer with status 421 comes from another upstream at a reused address, and its Server-Limit was applied to the upstream that had been meant. Callers would have been kept from an upstream that is gone anyway, so nothing was seen. All signs of a reply about its sender now go through replyHeader, which knows who sent it.

TestLimitOfAnUpstreamAtAReusedAddress failed before (expected: false, actual: true).

--- a/internal/driftrelay/limit_test.go
+++ b/internal/driftrelay/limit_test.go
@@ -296,3 +296,19 @@
 	r.recordNoRateLimit(&attempt{upstream: e, started: start.Add(2 * time.Second)}, http.Header{}, start.Add(3*time.Second))
 	assert.False(t, e.rateLimit.named)
 }
+
+// TestLimitOfAnUpstreamAtAReusedAddress guards against applying the limit of an upstream
+// to the one that had its address before.
+func TestLimitOfAnUpstreamAtAReusedAddress(t *testing.T) {
+	w := newSimulation(1, 1, time.Millisecond, rush())
+	r := w.relay()
+	e := r.services["shard-0"][0]
+	q := &Query{Request: &driftexchange.Request{ID: "q"}, Table: w.view.Table, Route: &w.view.Table.Config.Routes[0], Deadline: time.Now().Add(time.Second)}
+	for _, misdirected := range []bool{true, false} {
+		result := driftexchange.NotRun{
+			Misdirected: misdirected, Refused: true, Header: http.Header{testHeaders.RateLimit: {"9.5"}}, Err: driftexchange.ErrRefused,
+		}
+		r.finishAttempt(&attempt{upstream: e, started: time.Now()}, q, result, func(*attempt, driftexchange.Result) {})
+		assert.Equal(t, !misdirected, e.rateLimit.named)
+	}
+}
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -114,27 +114,24 @@
 	e := f.upstream
 	e.removeAttempt(f)
 	r.countInFlight(q, -1)
+	header := replyHeader(result)
 	r.recordClosure(f, result, now)
-	sign, leaves := r.recordLeaving(f, replyHeader(result), now)
+	r.recordRateLimit(f, header, now)
+	sign, leaves := r.recordLeaving(f, header, now)
 	switch result := result.(type) {
 	case driftexchange.Done:
 		r.holdReply(q, f, result.Reply)
 		e.markReachable()
 		failed := result.Reply.Status >= minFailureStatus
 		e.recordOutcome(now, failed, false)
+		r.recordLoad(e, header.Get(r.headers.Load), now)
 		if !failed {
 			r.recordServiceTime(f, q, now)
-		}
-		r.recordLoad(e, result.Reply.Header.Get(r.headers.Load), now)
-		r.recordRateLimit(f, result.Reply.Header, now)
-		if !failed {
-			r.recordNoRateLimit(f, result.Reply.Header, now)
+			r.recordNoRateLimit(f, header, now)
 		}
 	case driftexchange.NotRun:
 		r.recordNotRun(f, result, now)
-		r.recordRateLimit(f, result.Header, now)
 	case driftexchange.Unknown:
-		r.recordRateLimit(f, result.Header, now)
 		if !f.abandoned && now.Before(q.Deadline.Add(-2*replyMargin)) {
 			e.recordOutcome(now, true, false)
 		}
