Refuse a query at once if too many of its shards are closed

Callers saw it refused as well, but its parts were first sent to the open shards, which worked for nothing. The closed ones were noticed one by one while sending.

A query now asks before it sends whether the closed services leave enough for its coverage. TestClosedShardWastedTheOthers failed before (expected: false, actual: true: the other shards got requests) and passes in 3 of 3 runs.

--- a/internal/driftrelay/closed.go
+++ b/internal/driftrelay/closed.go
@@ -158,3 +158,25 @@
 	}
 	return ReturnDelay(waits[last], s.query.Route.Priority, rand.Float64())
 }
+
+// tooManyClosed reports whether so many services are closed to the query for longer
+// than it may wait that it can't be served. Its requests to them are then exhausted, and
+// nothing is sent to the others.
+func (s *scatter) tooManyClosed(now time.Time) bool {
+	s.relay.mu.Lock()
+	defer s.relay.mu.Unlock()
+	var closed []*shardRequest
+	for _, l := range s.requests {
+		if at, ok := s.relay.opensAt(l.service, nil, now); ok && at.After(s.capacityWaitEnd()) {
+			closed = append(closed, l)
+		}
+	}
+	if len(closed) <= s.maxMissing {
+		return false
+	}
+	for _, l := range closed {
+		l.exhausted = true
+		l.notes = append(l.notes, "every upstream has turned this VM away")
+	}
+	return true
+}
--- a/internal/driftrelay/closed_test.go
+++ b/internal/driftrelay/closed_test.go
@@ -260,3 +260,52 @@
 	assert.True(t, e.closed.allows(now, 0))
 	assert.False(t, e.closed.allows(now, 1), "one at a time")
 }
+
+// TestClosedShardWastedTheOthers guards against sending a query to shards whose parts
+// can't be used, as it is known that too many others are closed.
+func TestClosedShardWastedTheOthers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		closed int
+		sent   bool
+	}{
+		{"as many as the answer may lack", 2, true},
+		{"more than the answer may lack", 3, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newSimulation(10, 4, time.Millisecond, rush())
+				r := w.relay()
+				route := w.view.Table.Config.Routes[0]
+				serve := func() Answer {
+					return r.Serve(t.Context(), &driftexchange.Request{
+						ID: "q", Method: http.MethodGet, Target: route.Prefix, Host: route.Host,
+					}, route.Prefix, time.Now(), 0)
+				}
+				count := func() (received int) {
+					w.forEachUpstream(func(_ int, s *fakeUpstream) {
+						s.mu.Lock()
+						defer s.mu.Unlock()
+						received += len(s.received)
+					})
+					return received
+				}
+				assert.Equal(t, http.StatusOK, serve().Status, "opens connections")
+				time.Sleep(time.Second)
+				before := count()
+				for i := range c.closed {
+					for _, e := range r.services[fmt.Sprintf("shard-%d", i)] {
+						e.closed.until = time.Now().Add(10 * time.Second)
+					}
+				}
+				a := serve()
+				closeAll(r)
+				assert.Equal(t, c.sent, a.Status == http.StatusOK)
+				assert.Equal(t, c.sent, count() > before)
+				if !c.sent {
+					assert.GreaterOrEqual(t, a.RetryAfter, 10*time.Second)
+				}
+			})
+		})
+	}
+}
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -150,6 +150,9 @@
 
 func (s *scatter) start(now time.Time) {
 	r := s.relay
+	if s.tooManyClosed(now) {
+		return
+	}
 	r.mu.Lock()
 	for _, l := range s.requests {
 		r.budget(l.service).CountRequest(now, r.rule)
