Merge upstreams that say they leave or want no requests

One field names the start of an upstream that keeps its ID (Incarnation). Only promise.go names the status by which upstreams turn requests away.

--- a/internal/driftrelay/answer.go
+++ b/internal/driftrelay/answer.go
@@ -66,7 +66,7 @@
 		return refuse(n, cause, s.forwardRetryAfter)
 	}
 	// Another VM may have room before this one.
-	return refuse(n, cause, max(retrySoon, min(s.retryAfter, retryOverload)))
+	return refuse(n, cause, max(retrySoon, min(s.retryAfter, retryOverload), s.returnDelay(time.Now())))
 }
 
 func (s *scatter) tryAnswerGather(now, partialAt time.Time) (Answer, bool) {
@@ -122,6 +122,10 @@
 	}
 	a := s.passThrough(reply, CausePassed)
 	a.ofUpstream = true
+	// Others may serve the caller before the upstream wants to be asked again.
+	if turnsAway(reply.Status) && reply.Header.Get(s.relay.headers.RetryAfter) != "" && !isForward(s.query.Route) {
+		a.RetryAfter = max(retrySoon, s.returnDelay(time.Now()))
+	}
 	return a
 }
 
--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -103,11 +103,14 @@
 		delete(r.falseClaims, u.ID)
 		e, ok := r.upstreams[u.ID]
 		if ok && e.Address == u.Address && e.Service == u.Service {
+			r.recordPublished(e, u, now)
 			e.applyPublished(u, now)
+			r.applyNotice(e)
 			continue
 		}
 		e = newUpstreamState(u, now)
 		e.applyPublished(u, now)
+		r.applyNotice(e)
 		r.upstreams[u.ID] = e
 	}
 	for id, e := range r.upstreams {
@@ -161,11 +164,18 @@
 	r.mu.Lock()
 	r.sendRate.update(now)
 	var closing []*driftexchange.Conn
-	before, limits := len(r.upstreams), 0
+	before, limits, leaving, closed := len(r.upstreams), 0, 0, 0
 	for id, e := range r.upstreams {
 		if e.rateLimit.named {
 			limits++
 		}
+		if !e.leavingAt.IsZero() {
+			leaving++
+		}
+		if now.Before(e.closed.until) {
+			closed++
+		}
+		r.recordOpened(e, now)
 		removed := !e.removedAt.IsZero() && now.Sub(e.removedAt) > r.graces.removed
 		closing = append(closing, e.removeExpiredConns(now, removed)...)
 		if removed && len(e.inFlight) == 0 {
@@ -178,7 +188,10 @@
 	if len(r.upstreams) < before {
 		r.rebuildIndex()
 	}
+	r.dropOldNotices(now)
 	r.metrics.setRateLimits(limits)
+	r.metrics.setLeaving(leaving)
+	r.metrics.setClosed(closed)
 	r.mu.Unlock()
 	for _, c := range closing {
 		c.Close()
@@ -332,7 +345,7 @@
 // noUpstreamReason describes, for the log, why no upstream of the service can
 // take a request. The caller holds the lock.
 func (r *Relay) noUpstreamReason(service string, tried []*upstreamState, now time.Time) string {
-	var leaving, out, unreachable int
+	var leaving, out, unreachable, closed int
 	known := r.upstreamsOf(service)
 	for _, e := range known {
 		switch {
@@ -343,10 +356,12 @@
 			out++
 		case now.Before(e.downUntil):
 			unreachable++
+		case now.Before(e.closed.until):
+			closed++
 		}
 	}
-	return fmt.Sprintf("no other upstream of %d: %d tried, %d leaving, %d in a domain that is out, %d not reachable of late",
-		len(known), len(tried), leaving, out, unreachable)
+	return fmt.Sprintf("no other upstream of %d: %d tried, %d leaving, %d in a domain that is out, %d not reachable of late, %d closed to this VM",
+		len(known), len(tried), leaving, out, unreachable, closed)
 }
 
 // coldRate returns how many requests per second this VM may send to a cold
--- a/internal/driftrelay/metric.go
+++ b/internal/driftrelay/metric.go
@@ -13,6 +13,9 @@
 	sends    *prometheus.CounterVec
 	limited  *prometheus.CounterVec
 	limits   prometheus.Gauge
+	leaving  prometheus.Gauge
+	closed   prometheus.Gauge
+	turned   *prometheus.CounterVec
 }
 
 // latencyBuckets are the bounds of the latency histogram, in seconds.
@@ -36,8 +39,17 @@
 		limits: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "drift_rate_limits", Help: "Upstreams that name a rate limit to this VM.",
 		}),
+		leaving: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "drift_leaving_upstreams", Help: "Upstreams that this VM knows to be leaving.",
+		}),
+		closed: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "drift_closed_upstreams", Help: "Upstreams that want no requests of this VM for some time.",
+		}),
+		turned: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "drift_turned_away_total", Help: "Attempts that an upstream turned away for a time that it named.",
+		}, []string{"service"}),
 	}
-	registerer.MustRegister(m.requests, m.latency, m.sends, m.limited, m.limits)
+	registerer.MustRegister(m.requests, m.latency, m.sends, m.limited, m.limits, m.leaving, m.closed, m.turned)
 	return m
 }
 
@@ -66,6 +78,24 @@
 	}
 }
 
+func (m *Metrics) setLeaving(upstreams int) {
+	if m != nil {
+		m.leaving.Set(float64(upstreams))
+	}
+}
+
+func (m *Metrics) setClosed(upstreams int) {
+	if m != nil {
+		m.closed.Set(float64(upstreams))
+	}
+}
+
+func (m *Metrics) countTurnedAway(service string) {
+	if m != nil {
+		m.turned.WithLabelValues(service).Inc()
+	}
+}
+
 func (m *Metrics) observeAnswer(route string, cause Cause, took time.Duration) {
 	if m != nil {
 		m.requests.WithLabelValues(route, string(cause)).Inc()
--- a/internal/driftrelay/promise.go
+++ b/internal/driftrelay/promise.go
@@ -41,6 +41,10 @@
 	}
 }
 
+// turnsAway reports whether an upstream that replies with the status may name a time
+// for which it wants no requests.
+func turnsAway(status int) bool { return status == http.StatusServiceUnavailable }
+
 // Kept returns the answer as it may be written: one that promises without a proof
 // is replaced by one that promises nothing. The failure of an upstream, to a
 // request that may run again, is left as it is.
--- a/internal/driftrelay/restart_test.go
+++ b/internal/driftrelay/restart_test.go
@@ -183,12 +183,12 @@
 // same cold period as the entry before.
 func TestRestartKeptColdPeriod(t *testing.T) {
 	now := time.Now()
-	u := Upstream{ID: "u", Service: "s", ColdPeriod: restartCold, StartedMs: 1}
+	u := Upstream{ID: "u", Service: "s", ColdPeriod: restartCold, Incarnation: 1}
 	e := newUpstreamState(u, now)
 	now = now.Add(time.Minute)
 	e.applyPublished(u, now)
 	assert.False(t, now.Before(e.coldUntil), "the same entry")
-	u.StartedMs = 2
+	u.Incarnation = 2
 	e.applyPublished(u, now)
 	assert.Equal(t, now.Add(restartCold), e.coldUntil, "a new start")
 }
--- a/internal/driftrelay/scatter.go
+++ b/internal/driftrelay/scatter.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/almonddrift/almonddrift/internal/driftexchange"
 	"github.com/almonddrift/almonddrift/internal/driftroute"
 )
@@ -153,6 +155,9 @@
 
 func (s *scatter) start(now time.Time) {
 	r := s.relay
+	if s.tooManyClosed(now) {
+		return
+	}
 	r.mu.Lock()
 	for _, l := range s.requests {
 		r.budget(l.service).CountRequest(now, r.rule)
@@ -189,6 +194,7 @@
 			s.retryAfter = max(s.retryAfter, next.Sub(now))
 			hasCandidates = false
 		}
+		hasCandidates = hasCandidates || s.opensInTime(l, now)
 		if hasCandidates && !l.waiting {
 			l.notes = append(l.notes, "no room at any upstream")
 		}
@@ -275,6 +281,10 @@
 		if result.Refused && isForward(s.query.Route) {
 			s.handleForwardRefusal(request, result.Header, now)
 		}
+		if errors.Is(result.Err, errWithdrawn) {
+			// It may still be the last resort.
+			request.tried = slices.DeleteFunc(request.tried, func(e *upstreamState) bool { return e == l.attempt.upstream })
+		}
 	}
 	if len(request.inFlight) == 0 && !request.exhausted {
 		s.retry(request, now)
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -19,7 +20,7 @@
 // result is delivered once.
 func (r *Relay) startAttempt(q *Query, e *upstreamState, expected time.Duration, extra bool, deliver deliverFunc) (f *attempt, send func()) {
 	now := time.Now()
-	f = &attempt{upstream: e, started: now, expected: expected, version: q.Table.Config.Version}
+	f = &attempt{upstream: e, started: now, expected: expected, version: q.Table.Config.Version, incarnation: e.Incarnation}
 	r.countLimited(q, e, extra, now)
 	e.inFlight = append(e.inFlight, f)
 	r.countInFlight(q, 1)
@@ -75,16 +76,26 @@
 		return
 	}
 	r.mu.Lock()
-	abandoned := f.abandoned
-	f.conn, f.exchange, f.sent = c, c.NewExchange(), !abandoned
+	var withheld error
+	switch {
+	case f.abandoned:
+		withheld = driftexchange.ErrAborted
+	case f.withdrawn(time.Now()):
+		withheld = errWithdrawn
+	}
+	f.conn, f.exchange, f.sent = c, c.NewExchange(), withheld == nil
 	r.mu.Unlock()
-	if abandoned {
-		r.finishAttempt(f, q, driftexchange.NotRun{Err: driftexchange.ErrAborted}, deliver)
+	if withheld != nil {
+		r.finishAttempt(f, q, driftexchange.NotRun{Err: withheld}, deliver)
 		return
 	}
 	r.sendAttempt(f, q, deliver)
 }
 
+// errWithdrawn is that of attempts that were not sent on their connection, as the
+// upstream has asked meanwhile for no more requests.
+const errWithdrawn = errors.ConstError("withdrawn from the upstream")
+
 func (r *Relay) sendAttempt(f *attempt, q *Query, deliver deliverFunc) {
 	deadline := q.Deadline.Add(-replyMargin)
 	f.exchange.Send(q.Request, f.upstream.ID, deadline, func(result driftexchange.Result) {
@@ -100,6 +111,10 @@
 	e := f.upstream
 	e.removeAttempt(f)
 	r.countInFlight(q, -1)
+	header := replyHeader(result)
+	r.recordClosure(f, result, now)
+	r.recordRateLimit(f, header, now)
+	sign, leaves := r.recordLeaving(f, header, now)
 	switch result := result.(type) {
 	case driftexchange.Done:
 		r.holdReply(q, f, result.Reply)
@@ -107,19 +122,14 @@
 		e.proveConns(f.conn, f.started)
 		failed := result.Reply.Status >= minFailureStatus
 		e.recordOutcome(now, failed, false)
+		r.recordLoad(e, header.Get(r.headers.Load), now)
 		if !failed {
 			r.recordServiceTime(f, q, now)
-		}
-		r.recordLoad(e, result.Reply.Header.Get(r.headers.Load), now)
-		r.recordRateLimit(f, result.Reply.Header, now)
-		if !failed {
-			r.recordNoRateLimit(f, result.Reply.Header, now)
+			r.recordNoRateLimit(f, header, now)
 		}
 	case driftexchange.NotRun:
 		r.recordNotRun(f, result, now)
-		r.recordRateLimit(f, result.Header, now)
 	case driftexchange.Unknown:
-		r.recordRateLimit(f, result.Header, now)
 		if !f.abandoned && now.Before(q.Deadline.Add(-2*replyMargin)) {
 			e.recordOutcome(now, true, false)
 		}
@@ -130,9 +140,28 @@
 		f.conn.Close()
 	}
 	r.mu.Unlock()
+	if leaves {
+		r.reportLeaving(sign)
+	}
 	deliver(f, result)
 }
 
+// replyHeader returns the header by which the upstream answered, nil if there is none
+// or if another upstream answered in its place.
+func replyHeader(result driftexchange.Result) http.Header {
+	switch result := result.(type) {
+	case driftexchange.Done:
+		return result.Reply.Header
+	case driftexchange.NotRun:
+		if !result.Misdirected {
+			return result.Header
+		}
+	case driftexchange.Unknown:
+		return result.Header
+	}
+	return nil
+}
+
 // minFailureStatus is the lowest status that counts as a failure of the
 // upstream itself.
 const minFailureStatus = 500
@@ -146,7 +175,7 @@
 		e.markReachable()
 		e.proveConns(f.conn, f.started)
 		e.recordOutcome(now, false, true)
-	case !errors.Is(result.Err, driftexchange.ErrAborted):
+	case !errors.Is(result.Err, driftexchange.ErrAborted) && !errors.Is(result.Err, errWithdrawn):
 		e.markUnreachable(now)
 	}
 }
--- a/internal/driftrelay/simulation_test.go
+++ b/internal/driftrelay/simulation_test.go
@@ -49,21 +49,43 @@
 	limitFrom, limitUntil time.Time
 	// startedAt is when it was last restarted, and coldUntil when it is warm.
 	startedAt, coldUntil time.Time
-	slots                chan struct{}
-	rng                  *rand.Rand
-
-	mu           sync.Mutex
-	runs         map[string]int
-	arrived      int
-	arrivals     []time.Time
-	down         bool
-	accepted     []net.Conn
+	// turnAwayFor returns for how long the upstream turns a caller away, from
+	// turnAwayFrom until turnAwayUntil.
+	turnAwayFrom, turnAwayUntil time.Time
+	turnAwayFor                 func() time.Duration
+	// leavingFrom is from when replies say that the upstream leaves, zero if never.
+	leavingFrom time.Time
+	slots       chan struct{}
+	rng         *rand.Rand
+
+	mu       sync.Mutex
+	runs     map[string]int
+	arrived  int
+	arrivals []time.Time
+	down     bool
+	accepted []net.Conn
+	received []receivedRequest
+	// signed holds when a reply first told each caller that the upstream leaves.
+	signed       map[string]time.Time
+	closures     []closedSpan
 	conns        int
 	maxConns     int
 	failedWrites int
 	probes       int
 }
 
+// receivedRequest is a request that reached an upstream.
+type receivedRequest struct {
+	id, caller string
+	at         time.Time
+}
+
+// closedSpan is the time for which an upstream has turned a caller away.
+type closedSpan struct {
+	caller    string
+	from, end time.Time
+}
+
 // simulation is a set of fake upstreams by address.
 type simulation struct {
 	upstreams map[string]*fakeUpstream
@@ -72,7 +94,8 @@
 
 var testHeaders = driftexchange.Headers{
 	Request: "X-Id", Deadline: "X-Left", Expect: "X-Expect", Signature: "X-Proof", NotRun: "X-Not-Run",
-	Load: "X-Load", RateLimit: "X-Limit", Instance: "X-Instance", ColdLeft: "X-Cold", PartSignatures: "X-Parts", MissingParts: "X-Missing",
+	Load: "X-Load", RateLimit: "X-Limit", Leaving: "X-Leaving", RetryAfter: "Retry-After",
+	Instance: "X-Instance", ColdLeft: "X-Cold", PartSignatures: "X-Parts", MissingParts: "X-Missing",
 }
 
 const (
@@ -96,7 +119,7 @@
 			address := fmt.Sprintf("10.%d.0.%d:80", domain, shard)
 			s := &fakeUpstream{
 				name: fmt.Sprintf("%s-%d", service, domain), serviceTime: work, slowdown: 0.8 + 0.5*seed.Float64(),
-				slots: make(chan struct{}, slots), bodySize: recordSize, runs: make(map[string]int),
+				slots: make(chan struct{}, slots), bodySize: recordSize, runs: make(map[string]int), signed: make(map[string]time.Time),
 				pauseOffset: time.Duration(seed.Int64N(int64(5 * time.Second))),
 				rng:         rand.New(rand.NewPCG(testSeed, uint64(shard*testDomains+domain))),
 			}
@@ -151,6 +174,11 @@
 }
 
 func (w *simulation) dial(ctx context.Context, address string) (net.Conn, error) {
+	return w.dialAs(ctx, "", address)
+}
+
+// dialAs opens a connection of the named caller.
+func (w *simulation) dialAs(ctx context.Context, caller, address string) (net.Conn, error) {
 	s, ok := w.upstreams[address]
 	if !ok {
 		return nil, errors.NotFoundf("upstream at %s", address)
@@ -169,7 +197,7 @@
 	s.conns++
 	s.maxConns = max(s.maxConns, s.conns)
 	s.mu.Unlock()
-	go s.serve(far)
+	go s.serve(far, caller)
 	return &countedConn{Conn: near, upstream: s}, nil
 }
 
@@ -191,7 +219,7 @@
 	return c.Conn.Close()
 }
 
-func (s *fakeUpstream) serve(conn net.Conn) {
+func (s *fakeUpstream) serve(conn net.Conn, caller string) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for first := true; ; first = false {
@@ -209,27 +237,32 @@
 		if first {
 			time.Sleep(s.handshake)
 		}
-		if !s.answer(conn, request.Header.Get(testHeaders.Request)) {
+		if !s.answer(conn, caller, request.Header.Get(testHeaders.Request)) {
 			return
 		}
 	}
 }
 
 // answer runs one request, and reports whether the connection stays open.
-func (s *fakeUpstream) answer(conn net.Conn, id string) bool {
+func (s *fakeUpstream) answer(conn net.Conn, caller, id string) bool {
 	s.mu.Lock()
 	s.arrived++
 	s.arrivals = append(s.arrivals, time.Now())
 	misdirected := s.misdirected
+	s.received = append(s.received, receivedRequest{id: id, caller: caller, at: time.Now()})
 	refused := s.rng.Float64() < s.refusalRate
 	lost := s.rng.Float64() < s.replyLossRate
+	retryAfter := s.retryAfterHeader(caller)
 	work := time.Duration(float64(s.serviceTime) * s.slowdown * (0.6 + 0.8*s.rng.Float64()))
 	s.mu.Unlock()
 	if misdirected {
 		return writeReply(conn, "421 Misdirected Request", "", id, "")
 	}
+	if retryAfter != "" {
+		return writeReply(conn, "503 Service Unavailable", testHeaders.NotRun+": 1\r\n"+retryAfter+s.leavingHeader(caller), id, "")
+	}
 	if refused {
-		return writeReply(conn, "503 Service Unavailable", testHeaders.NotRun+": 1\r\n", id, "")
+		return writeReply(conn, "503 Service Unavailable", testHeaders.NotRun+": 1\r\n"+s.leavingHeader(caller), id, "")
 	}
 	s.slots <- struct{}{}
 	defer func() { <-s.slots }()
@@ -244,7 +277,7 @@
 	if s.failsWith > 0 {
 		status = fmt.Sprintf("%d Failed", s.failsWith)
 	}
-	ok := writeReply(conn, status, testHeaders.Signature+": "+s.name+"."+id+"\r\n"+s.limitHeader(), id, strings.Repeat("r", s.bodySize))
+	ok := writeReply(conn, status, testHeaders.Signature+": "+s.name+"."+id+"\r\n"+s.limitHeader()+s.leavingHeader(caller), id, strings.Repeat("r", s.bodySize))
 	if !ok {
 		s.mu.Lock()
 		s.failedWrites++
@@ -303,6 +336,31 @@
 	return fmt.Sprintf("%s: %.1f\r\n", testHeaders.RateLimit, s.rateLimit)
 }
 
+// retryAfterHeader returns the header that turns the caller away, if it is. The caller
+// holds the lock.
+func (s *fakeUpstream) retryAfterHeader(caller string) string {
+	now := time.Now()
+	if s.turnAwayFor == nil || now.Before(s.turnAwayFrom) || !now.Before(s.turnAwayUntil) {
+		return ""
+	}
+	wait := s.turnAwayFor()
+	s.closures = append(s.closures, closedSpan{caller: caller, from: now, end: now.Add(wait)})
+	return fmt.Sprintf("%s: %.3f\r\n", testHeaders.RetryAfter, wait.Seconds())
+}
+
+// leavingHeader returns the header that says that the upstream leaves, if it does.
+func (s *fakeUpstream) leavingHeader(caller string) string {
+	if s.leavingFrom.IsZero() || time.Now().Before(s.leavingFrom) {
+		return ""
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.signed[caller]; !ok {
+		s.signed[caller] = time.Now()
+	}
+	return testHeaders.Leaving + ": 1\r\n"
+}
+
 // pauseLeft returns how much of the current pause is left.
 func (s *fakeUpstream) pauseLeft() time.Duration {
 	if s.pauseEvery == 0 {
--- a/internal/driftrelay/upstream.go
+++ b/internal/driftrelay/upstream.go
@@ -11,19 +11,20 @@
 
 // Upstream is one upstream as the platform publishes it.
 type Upstream struct {
-	// ID identifies the incarnation of the upstream.
-	ID      string
-	Service string
-	Address string
-	Domain  string
+	// ID identifies the upstream, mostly one incarnation of it.
+	ID string
+	// Incarnation tells apart the starts of an upstream that keeps its ID; a later
+	// one is greater.
+	Incarnation int64
+	Service     string
+	Address     string
+	Domain      string
 	// Slots is the number of requests that it runs concurrently.
 	Slots int
 	// Leaving is set once it has announced that it will end.
 	Leaving bool
 	// ColdPeriod is how long it stays cold after it was published.
 	ColdPeriod time.Duration
-	// StartedMs is when it started, in Unix milliseconds, 0 if unknown.
-	StartedMs int64
 }
 
 // View is the decoded state that the platform publishes.
@@ -77,6 +78,7 @@
 	downUntil    time.Time
 	downBackoff  time.Duration
 	rateLimit    rateLimit
+	closed       closure
 	coldSent     []bucket
 	connUnits    unitShare
 	coldUnits    unitShare
@@ -94,6 +96,8 @@
 	expected time.Duration
 	// version is that of the configuration by which the upstream was chosen.
 	version int64
+	// incarnation is that of the upstream when it was chosen.
+	incarnation int64
 	// abandoned is set when the result is no longer needed.
 	abandoned bool
 }
@@ -108,21 +112,32 @@
 
 // applyPublished applies the published state of the upstream.
 func (e *upstreamState) applyPublished(u Upstream, now time.Time) {
-	if u.Leaving && e.leavingAt.IsZero() {
-		e.leavingAt = now
+	if u.Incarnation != e.Incarnation && !e.closed.until.IsZero() {
+		// The reply may have been one of the new incarnation.
+		e.closed.until, e.closed.trial = now, true
 	}
-	if !u.Leaving {
+	if u.Incarnation != e.Incarnation || (e.Leaving && !u.Leaving) {
 		e.leavingAt = time.Time{}
 	}
-	if u.ColdPeriod > 0 && (u.ColdPeriod != e.ColdPeriod || u.StartedMs != e.StartedMs) {
+	if u.Leaving && e.leavingAt.IsZero() {
+		e.leavingAt = now
+	}
+	if u.ColdPeriod > 0 && (u.ColdPeriod != e.ColdPeriod || u.Incarnation != e.Incarnation) {
 		e.coldUntil = now.Add(u.ColdPeriod)
 	}
 	e.removedAt = time.Time{}
-	e.Upstream = u
+	// Attempts read ID, Service and Address without the lock; they never change.
+	e.Incarnation, e.Domain, e.Slots, e.Leaving, e.ColdPeriod = u.Incarnation, u.Domain, u.Slots, u.Leaving, u.ColdPeriod
 }
 
 // acceptsRequests reports whether the upstream may get new requests.
 func (e *upstreamState) acceptsRequests(now time.Time, outSince time.Time, g graces) bool {
+	return e.inService(now, outSince, g) && e.closed.allows(now, len(e.inFlight))
+}
+
+// inService reports whether the upstream may get new requests unless it is closed to
+// this VM.
+func (e *upstreamState) inService(now time.Time, outSince time.Time, g graces) bool {
 	switch {
 	case !e.removedAt.IsZero() && now.Sub(e.removedAt) > g.removed:
 		return false
