--- a/cmd/driftsoak/main.go
+++ b/cmd/driftsoak/main.go
@@ -38,6 +38,7 @@
 	Program string `default:"target/almonddrift" help:"The product's executable." type:"existingfile"`
 	Dir     string `default:"target/soak" help:"Folder of the records and logs, a folder in it for each seed." type:"path"`
 	Config  string `help:"JSON file with fields that replace those of the built-in run." type:"existingfile"`
+	Base    string `default:"sheet" enum:"sheet,planned" help:"The built-in run: the load of a sheet, or short and hard stops of few VMs."`
 	Vary    bool   `help:"Draw further figures of each run from its seed."`
 	VMs     int    `name:"vms" help:"Number of VM processes, 0 for that of the configuration."`
 	Seed    uint64 `default:"1" help:"The first seed."`
@@ -84,7 +85,11 @@
 
 // Run plays the seeds, at most Jobs at a time.
 func (c runCommand) Run(ctx context.Context) error {
-	config, err := driftsoak.ReadConfig(c.Config, driftsoak.Sheet())
+	base := driftsoak.Sheet()
+	if c.Base == "planned" {
+		base = driftsoak.Planned()
+	}
+	config, err := driftsoak.ReadConfig(c.Config, base)
 	if err != nil {
 		return err
 	}
