Keep the stand-ins of the platform beside what speaks its protocol

driftsoak names the platform's calls, headers and settings, so it belongs to platform/; its classes and services have neutral names.

--- a/cmd/driftsoak/main.go
+++ b/cmd/driftsoak/main.go
@@ -18,7 +18,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"github.com/almonddrift/almonddrift/internal/driftsoak"
+	"github.com/almonddrift/almonddrift/platform/driftsoak"
 )
 
 // Exit codes of every command.
