Judge by the 99th percentile what a stopping VM takes

Seen: with clients that stay until the process has gone, a stopping VM refused most requests that it had time for, since one and a half times the longest request of the last 30 s had to fit. And while no other VM served, it took requests that may run once and could not end, as earlier ones of their class had been refused within milliseconds, and such refusals counted as times of the class.

Change: the times of a class are kept in a histogram. Of a hundred or more, the 99th percentile is expected, of fewer one and a half times the longest, as before. Only requests that were answered count, and those that may run once and timed out. The log of a refusal names the time left, the time expected and the deadline, which tell a wrong estimate from a late stop request.

Tests: TestStopTookRefusalsForShortRequests fails before. TestFitsBeforeStop has lost the factor, which is in the expected time now: TestRecentTimes checks it, beside all that TestRecentMax did. TestStopRefusedClassAfterTimeout checks a class that may run once also while no other VM serves.

--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -66,10 +66,9 @@
 	peers        []*upstreamState
 	budgets      map[string]*Budget
 	typicalTimes map[string]time.Duration
-	// longest holds how long queries took at most of late, by the keys of
-	// typicalTimes.
-	longest map[string]*recentMax
-	running int
+	// recentTimes holds how long queries took of late, by the keys of typicalTimes.
+	recentTimes map[string]*recentTimes
+	running     int
 	// atUpstreams counts the running queries with an attempt in flight.
 	atUpstreams int
 	// stopAt is when all requests must have their answers, zero unless the VM is
@@ -144,7 +143,7 @@
 		upstreams: make(map[string]*upstreamState), falseClaims: make(map[string]falseClaim), services: make(map[string][]*upstreamState),
 		notices:  make(map[string]*notice),
 		outSince: make(map[string]time.Time), budgets: make(map[string]*Budget),
-		typicalTimes: make(map[string]time.Duration), longest: make(map[string]*recentMax),
+		typicalTimes: make(map[string]time.Duration), recentTimes: make(map[string]*recentTimes),
 		graces: publishedGraces, stopping: make(chan struct{}), sendRate: rateMeter{since: time.Now()},
 	}
 	for _, opt := range opts {
--- a/internal/driftrelay/stop.go
+++ b/internal/driftrelay/stop.go
@@ -1,6 +1,7 @@
 package driftrelay
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -12,61 +13,25 @@
 // attempt that doesn't, and answers what is left at the end: as not run if nothing
 // was sent, otherwise with a status that promises nothing.
 
-const (
-	// stopTimeFactor is how many times the longest request of late one more request
-	// of its class may take.
-	stopTimeFactor = 1.5
-	// longestSpan is the span over which the longest request of a class is
-	// remembered, at least.
-	longestSpan = 30 * time.Second
-	// retryElsewhere is when a caller that a stopping VM refuses may try again: the
-	// other VMs take its request at once.
-	retryElsewhere = 5 * time.Millisecond
-)
+// retryElsewhere is when a caller that a stopping VM refuses may try again: the
+// other VMs take its request at once.
+const retryElsewhere = 5 * time.Millisecond
 
 // FitsBeforeStop reports whether a request, or an attempt of it, that starts now
 // ends before the VM stops. It handles a planned stop under load, with classes
-// that take longer than what is left of the stop: those would be cut off, and
-// another VM can serve them from the start.
+// that take longer than what is left of the stop: those would be given up unfinished,
+// and another VM can serve them from the start.
 //
 // Left is the time until the VM stops, untilDeadline that until the caller's
-// deadline, and longest how long requests of the class took at most of late, 0 if
-// unknown.
-func FitsBeforeStop(left, untilDeadline, longest time.Duration) bool {
+// deadline, and expected how long the request is expected to take, 0 if unknown.
+func FitsBeforeStop(left, untilDeadline, expected time.Duration) bool {
 	needed := untilDeadline
-	if longest > 0 {
-		needed = min(needed, time.Duration(stopTimeFactor*float64(longest)))
+	if expected > 0 {
+		needed = min(needed, expected)
 	}
 	return needed <= left
 }
 
-// recentMax is the largest duration of late. The zero value has none.
-type recentMax struct {
-	current, previous time.Duration
-	since             time.Time
-}
-
-// add adds a duration that was observed now.
-func (m *recentMax) add(now time.Time, d time.Duration) {
-	if age := now.Sub(m.since); age >= longestSpan {
-		m.previous = m.current
-		if age >= 2*longestSpan {
-			m.previous = 0
-		}
-		m.current, m.since = 0, now
-	}
-	m.current = max(m.current, d)
-}
-
-// at returns the largest duration of the last longestSpan or more, 0 if there was
-// none.
-func (m *recentMax) at(now time.Time) time.Duration {
-	if now.Sub(m.since) >= 2*longestSpan {
-		return 0
-	}
-	return max(m.current, m.previous)
-}
-
 // StopBy tells the relay that the VM stops, and when all requests must have their
 // answers. Only the first call has an effect.
 func (r *Relay) StopBy(at time.Time) {
@@ -90,20 +55,25 @@
 
 // fitsBeforeStop reports whether a request of the route that starts now ends before
 // the VM stops, if it does. While no other VM serves callers, requests that may be
-// repeated are tried all the same. A class of which nothing is known is expected to
-// meet its objective if its requests may be repeated. The caller holds the lock.
+// repeated are tried all the same. The caller holds the lock.
 func (r *Relay) fitsBeforeStop(route *driftroute.Route, deadline, now time.Time) bool {
 	if r.stopAt.IsZero() || (!r.othersServe() && route.Idempotent) {
 		return true
 	}
-	longest := time.Duration(0)
-	if m, ok := r.longest[typicalTimeKey(route)]; ok {
-		longest = m.at(now)
+	return FitsBeforeStop(r.stopAt.Sub(now), deadline.Sub(now), r.expectedTime(route, now))
+}
+
+// expectedTime returns how long a request that a stopping VM takes is expected to last,
+// 0 if only its deadline tells. A class of which nothing is known is expected to meet its
+// objective if its requests may be repeated. The caller holds the lock.
+func (r *Relay) expectedTime(route *driftroute.Route, now time.Time) (expected time.Duration) {
+	if times, ok := r.recentTimes[typicalTimeKey(route)]; ok {
+		expected = times.expected(now)
 	}
-	if longest == 0 && route.Idempotent {
-		longest = route.LatencyObjective
+	if expected == 0 && route.Idempotent {
+		expected = time.Duration(fewTimesFactor * float64(route.LatencyObjective))
 	}
-	return FitsBeforeStop(r.stopAt.Sub(now), deadline.Sub(now), longest)
+	return expected
 }
 
 // othersServe reports whether another VM serves callers: one that is alive, ready
@@ -122,27 +92,28 @@
 }
 
 // recordTime records how long a query took from its arrival to its answer, or until
-// it was given up. Of a class that may be repeated, only those that were answered
-// count: one upstream that does not answer tells nothing of the others.
+// its deadline. Of a class that may be repeated, only those that were answered count: one
+// upstream that does not answer tells nothing of the others. A query that was refused
+// tells nothing of those that run.
 func (r *Relay) recordTime(q *Query, cause Cause, now time.Time) {
 	switch cause {
-	case CauseStopping, CauseCutOff:
-		return
 	case CauseServed, CausePartial, CausePassed:
-	default:
+	case CauseTimeout:
 		if q.Route.Idempotent {
 			return
 		}
+	default:
+		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	key := typicalTimeKey(q.Route)
-	m, ok := r.longest[key]
+	times, ok := r.recentTimes[key]
 	if !ok {
-		m = new(recentMax)
-		r.longest[key] = m
+		times = newRecentTimes()
+		r.recentTimes[key] = times
 	}
-	m.add(now, now.Sub(q.Arrived))
+	times.add(now, now.Sub(q.Arrived))
 }
 
 // handleStop takes the VM's stop into account for a query that is being served.
@@ -159,7 +130,19 @@
 	s.relay.mu.Lock()
 	defer s.relay.mu.Unlock()
 	s.answerBy = s.relay.answerBy(s.query)
-	return s.relay.fitsBeforeStop(s.query.Route, s.query.Deadline, now)
+	fits := s.relay.fitsBeforeStop(s.query.Route, s.query.Deadline, now)
+	if !fits {
+		s.requests[0].notes = append(s.requests[0].notes, s.stopDetail(now))
+	}
+	return fits
+}
+
+// stopDetail describes, for the log, why a stopping VM does not start a request. The
+// caller holds the relay's lock.
+func (s *scatter) stopDetail(now time.Time) string {
+	r := s.relay
+	return fmt.Sprintf("%d ms until the VM stops, expected to take %d ms, deadline in %d ms", r.stopAt.Sub(now).Milliseconds(),
+		r.expectedTime(s.query.Route, now).Milliseconds(), s.query.Deadline.Sub(now).Milliseconds())
 }
 
 // fitsBeforeStop reports whether an attempt for the request that starts now ends
@@ -172,7 +155,7 @@
 	}
 	if !l.stopped {
 		l.stopped = true
-		l.notes = append(l.notes, "no time for another before the VM stops")
+		l.notes = append(l.notes, "no time for another: "+s.stopDetail(now))
 	}
 	return false
 }
