Take requests that may run once in a stop only if they certainly end

Seen: a class took 40 ms until the stop request, then twelve requests that may run once took 1.9 s, sent 3.4 s to 3.8 s after it. The stopping VM took all, upstreams ran them, and at 5.1 s each got 504: the callers could neither use the results nor send the requests again.

Cause: what a request will take was concluded from earlier ones of its class, whatever a wrong conclusion costs the caller. A refusal costs one more attempt at another VM; a request that may run once and does not end costs its outcome.

Change: while another VM serves, a request that may run once is taken only if its deadline is before the VM stops. No route, class or duration is named; classes that may be repeated are judged as before. While no other VM serves, so are these.

--- a/internal/driftrelay/stop.go
+++ b/internal/driftrelay/stop.go
@@ -12,6 +12,11 @@
 // taken before its time is over. It takes only those that end in time, starts no
 // attempt that doesn't, and answers what is left at the end: as not run if nothing
 // was sent, otherwise with a status that promises nothing.
+//
+// A refusal costs a caller one more attempt, at another VM. A request that is taken and
+// does not end costs it the wait, and if it may run only once, its outcome. Requests that
+// may be repeated are therefore taken if they most likely end in time, others only if
+// they certainly do.
 
 // retryElsewhere is when a caller that a stopping VM refuses may try again: the
 // other VMs take its request at once.
@@ -67,6 +72,9 @@
 // 0 if only its deadline tells. A class of which nothing is known is expected to meet its
 // objective if its requests may be repeated. The caller holds the lock.
 func (r *Relay) expectedTime(route *driftroute.Route, now time.Time) (expected time.Duration) {
+	if !route.Idempotent && r.othersServe() {
+		return 0
+	}
 	if times, ok := r.recentTimes[typicalTimeKey(route)]; ok {
 		expected = times.expected(now)
 	}
--- a/internal/driftrelay/stop_test.go
+++ b/internal/driftrelay/stop_test.go
@@ -241,6 +241,37 @@
 	})
 }
 
+// TestStopGaveUpRequestsThatRunOnce guards against taking requests that may run once late
+// in a stop, as their class was short until then, and leaving their outcome unknown.
+func TestStopGaveUpRequestsThatRunOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const grace = 5 * time.Second
+		w := newSimulation(1, 8, 40*time.Millisecond, nonIdempotent())
+		r := w.relay()
+		r.SetVMs(true, servingVMs)
+		time.AfterFunc(5*time.Second, func() {
+			w.forEachUpstream(func(_ int, u *fakeUpstream) {
+				u.mu.Lock()
+				defer u.mu.Unlock()
+				u.serviceTime = 1900 * time.Millisecond
+			})
+		})
+		refused := 0
+		for _, q := range runStop(r, nonIdempotent(), 5*time.Second, grace, 40*time.Millisecond) {
+			switch q.answer.Status {
+			case http.StatusOK:
+			case http.StatusServiceUnavailable:
+				refused++
+				assert.Zero(t, w.runs()[q.id])
+			default:
+				assert.Fail(t, "given up", "%s, sent at %v: %d, %s", q.id, q.sent, q.answer.Status, q.answer.Cause)
+			}
+		}
+		assert.NotZero(t, refused)
+		closeAll(r)
+	})
+}
+
 // TestStopHeldUpRequests guards against holding a request that waits for a
 // connection until the VM ends, when it can no longer be served there.
 func TestStopHeldUpRequests(t *testing.T) {
