Refuse queries whose callers wait for longer than a leaving VM runs

One that ran until its deadline was interrupted, and one that may run once was left with its outcome unknown.

Change: Leave tells the front by when the VM stops. A query whose deadline is later is refused as not run, with other addresses. Without a bound nothing changes.

Test: TestStopInterruptedQueriesWithLateDeadlines; without the check the late query is taken.

--- a/internal/driftfront/front.go
+++ b/internal/driftfront/front.go
@@ -28,6 +28,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/almonddrift/almonddrift/internal/driftcheck"
@@ -57,6 +58,8 @@
 	retryBudget    *budget
 	redirectBudget *budget
 	counters       counters
+	// stopBy is by when this VM stops, nil unless it is about to.
+	stopBy atomic.Pointer[time.Time]
 }
 
 // New returns a Front that reads views and sends shard requests.
@@ -171,6 +174,9 @@
 	if reason != "" {
 		return refuse(c.query, reason)
 	}
+	if !f.endsBeforeStop(c) {
+		return refuse(c.query, driftshard.ReasonLeaving)
+	}
 	c.class = class
 	permit, retryDelay, admitted := f.admission.acquire(c, v.Classes, c.started)
 	if !admitted {
@@ -191,6 +197,16 @@
 	return o
 }
 
+// StopBy tells the front that its VM stops, and when all queries must have ended.
+func (f *Front) StopBy(at time.Time) { f.stopBy.Store(&at) }
+
+// endsBeforeStop reports whether a query ends before this VM stops, if it does. It handles
+// a planned stop with less time than some callers wait: another VM can serve them.
+func (f *Front) endsBeforeStop(c call) bool {
+	at := f.stopBy.Load()
+	return at == nil || !c.deadline.After(*at)
+}
+
 // resolveClass returns the class of a query, or the reason why this VM may not
 // serve it.
 func (f *Front) resolveClass(v *drifttable.View, c call) (class drifttable.Class, reason driftshard.Reason) {
--- a/internal/driftnode/leave.go
+++ b/internal/driftnode/leave.go
@@ -23,13 +23,17 @@
 	drainPollInterval = 20 * time.Millisecond
 )
 
-// Leave shuts the VM down gracefully. It releases its upstreams and notifies
-// the other VMs at once, accepts queries for as long as callers may keep its
-// address, or half of the time until the deadline of ctx if that is shorter, then
-// refuses new ones as not run, and returns when nothing is in flight. If ctx ends earlier, the error contains the number of requests that
-// are interrupted. The caller stops Run afterwards.
+// Leave shuts the VM down gracefully. It releases its upstreams and notifies the other VMs
+// at once. For as long as callers may keep its address, or half of the time until the
+// deadline of ctx if that is shorter, it accepts queries whose own deadlines are before
+// that of ctx. It refuses others, and then all, as not run, and returns when nothing is in
+// flight. If ctx ends earlier, the error contains the number of requests that are
+// interrupted. The caller stops Run afterwards.
 func (n *Node) Leave(ctx context.Context) (err error) {
 	defer errors.DeferredAnnotatef(&err, "VM %q is leaving", n.Self.Name)
+	if deadline, ok := ctx.Deadline(); ok {
+		n.Front.StopBy(deadline)
+	}
 	n.Control.Leave(ctx)
 	sleep(ctx, n.intakeTime(ctx))
 	n.Control.Close(ctx)
--- a/internal/drifttest/rolling_test.go
+++ b/internal/drifttest/rolling_test.go
@@ -12,6 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/almonddrift/almonddrift/internal/driftfake"
+	"github.com/almonddrift/almonddrift/internal/driftfront"
+	"github.com/almonddrift/almonddrift/internal/driftshard"
 	"github.com/almonddrift/almonddrift/pkg/driftapi"
 )
 
@@ -103,3 +105,30 @@
 		assert.Empty(t, f.Violations())
 	})
 }
+
+// TestStopInterruptedQueriesWithLateDeadlines guards against a graceful stop that takes
+// queries whose callers wait for longer than the VM will run.
+func TestStopInterruptedQueriesWithLateDeadlines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const grace = 2 * time.Second
+		f := NewFleet(t, driftfake.Oshana())
+		vm := VMNames()[0]
+		ctx, cancel := context.WithTimeout(t.Context(), grace)
+		defer cancel()
+		left := make(chan error, 1)
+		go func() { left <- f.Node(vm).Leave(ctx) }()
+		time.Sleep(grace / 4)
+		query := func(wait time.Duration) driftfront.Outcome {
+			return f.handler(vm).Query(t.Context(), driftapi.Query{
+				Request: "q-" + wait.String(), Class: "counter", Text: "church", Deadline: wait.Milliseconds(),
+			})
+		}
+		assert.IsType(t, driftfront.Answered{}, query(grace/2))
+		late := query(grace)
+		if assert.IsType(t, driftfront.Refused{}, late) {
+			assert.Equal(t, string(driftshard.ReasonLeaving), late.(driftfront.Refused).Refusal.Reason)
+		}
+		require.NoError(t, <-left)
+		assert.Empty(t, f.Violations())
+	})
+}
