Look for VMs that were dropped as dead

If all seeds are stale on both sides, nothing is left that names the other side, and they stay apart once the partition is over, each with its own part of the limits.

Change: the address of each VM is kept with the time at which it was last alive, for the hour for which it counts in shared limits. Every fourth round, 1.2 s, a heartbeat without changes goes to one that was dropped. Cost: one datagram of about 100 bytes each 1.2 s, while there are such VMs.

--- a/internal/driftgossip/member.go
+++ b/internal/driftgossip/member.go
@@ -59,8 +59,8 @@
 	// those of other domains.
 	changes  changeQueue
 	outbound changeQueue
-	// lastAlive holds when each VM was last known to be alive.
-	lastAlive map[string]time.Time
+	// lastAlive holds when and where each VM was last known to be alive.
+	lastAlive map[string]lastSeen
 	// monitored holds the VMs whose heartbeats this VM waits for.
 	monitored map[string]bool
 	// rings holds the VMs of each failure domain that are alive, including this
@@ -81,9 +81,15 @@
 // and each side then uses its own part only.
 const knownSpan = time.Hour
 
+// lastSeen is when and at which address a VM was last known to be alive.
+type lastSeen struct {
+	at      time.Time
+	address string
+}
+
 func newTable(self Self) *memberTable {
 	return &memberTable{
-		self: self, members: make(map[string]Member), lastAlive: make(map[string]time.Time),
+		self: self, members: make(map[string]Member), lastAlive: make(map[string]lastSeen),
 		changes: make(changeQueue), outbound: make(changeQueue), monitored: make(map[string]bool),
 		domains: newDomainTable(),
 	}
@@ -249,17 +255,28 @@
 func (t *memberTable) knownVMs(now time.Time) int {
 	for name, m := range t.members {
 		if !m.Dead {
-			t.lastAlive[name] = now
+			t.lastAlive[name] = lastSeen{now, m.Address}
 		}
 	}
-	for name, at := range t.lastAlive {
-		if now.Sub(at) > knownSpan {
+	for name, seen := range t.lastAlive {
+		if now.Sub(seen.at) > knownSpan {
 			delete(t.lastAlive, name)
 		}
 	}
 	return 1 + len(t.lastAlive)
 }
 
+// lostAddresses returns the addresses of VMs that were alive within knownSpan and have
+// been dropped since.
+func (t *memberTable) lostAddresses() (lost []string) {
+	for name, seen := range t.lastAlive {
+		if _, known := t.members[name]; !known {
+			lost = append(lost, seen.address)
+		}
+	}
+	return lost
+}
+
 func toEntry(m Member) *driftgossippb.Entry {
 	return &driftgossippb.Entry{
 		Name: m.Name, Domain: m.Domain, Address: m.Address, Boot: m.Incarnation, Beat: m.Heartbeat, Dead: m.Dead,
--- a/internal/driftgossip/send.go
+++ b/internal/driftgossip/send.go
@@ -247,8 +247,10 @@
 // roundTargets returns the addresses for a round: those of the VMs that monitor
 // this one, and, for datagrams without changes, a random seed that is not the
 // address of a live member. Without monitoring VMs all such seeds are returned.
-// Until this VM has settled, VMs of other domains get no changes either. It also
-// returns one dead VM to probe, in case it is back.
+// Now and then a VM that was dropped as dead is among them: a network may be parted for
+// longer than dead VMs are kept, and the seeds name none of the other side. Until this VM
+// has settled, VMs of other domains get no changes either. It also returns one dead VM to
+// probe, in case it is back.
 func (f *Fleet) roundTargets() (targets, plain []string, dead []Member) {
 	heard := map[string]bool{f.self.Address: true}
 	near, far := f.table.splitByDomain(f.table.heartbeatTargets())
@@ -273,9 +275,16 @@
 	if len(targets)+len(plain) > 0 {
 		seeds = sample(seeds, 1)
 	}
+	if f.heartbeat%lostProbeRounds == 0 {
+		seeds = append(seeds, sample(f.table.lostAddresses(), 1)...)
+	}
 	return targets, append(plain, seeds...), sample(dead, 1)
 }
 
+// lostProbeRounds is the number of rounds between two in which a VM that was dropped as
+// dead is looked for.
+const lostProbeRounds = 4
+
 // sample returns up to bound random elements. It shuffles the slice in place.
 func sample[T any](from []T, bound int) []T {
 	rand.Shuffle(len(from), func(i, j int) { from[i], from[j] = from[j], from[i] })
