Apply changes of the retry budget's bounds without a restart

Change: both are in force at once. The window stays until a restart, since attempts and loans are counted over it; a change of the window leaves the other two as they are.

--- a/internal/driftrelay/bounds.go
+++ b/internal/driftrelay/bounds.go
@@ -61,6 +61,15 @@
 	r.graces = b.graces()
 }
 
+// SetBudget replaces the rule that bounds extra attempts. Its window stays as it was, since
+// attempts and loans are counted over it.
+func (r *Relay) SetBudget(rule BudgetRule) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rule.Window = r.rule.Window
+	r.rule = rule
+}
+
 // staleAfter returns the age of the view from which a missing route may already be
 // published.
 func (r *Relay) staleAfter() time.Duration {
--- a/internal/driftrelay/bounds_test.go
+++ b/internal/driftrelay/bounds_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -46,3 +47,29 @@
 func unroutedRequest() *driftexchange.Request {
 	return &driftexchange.Request{ID: "r", Method: http.MethodGet, Target: "/nowhere", Host: "nowhere"}
 }
+
+// TestRetryBudgetStayedAtStart guards against extra attempts by a rule that the settings
+// no longer name.
+func TestRetryBudgetStayedAtStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newSimulation(1, 4, time.Millisecond, receipt())
+		w.forEachUpstream(func(_ int, u *fakeUpstream) { u.failsWith = http.StatusInternalServerError })
+		r := w.relay()
+		arrived := func() (total int) {
+			w.forEachUpstream(func(_ int, u *fakeUpstream) {
+				u.mu.Lock()
+				defer u.mu.Unlock()
+				total += u.arrived
+			})
+			return total
+		}
+		const queries = 20
+		_ = runLoad(r, receipt(), queries, 20*time.Millisecond)
+		first := arrived()
+		assert.Greater(t, first, queries, "failed requests are tried again")
+		r.SetBudget(BudgetRule{})
+		_ = runLoad(r, receipt(), queries, 20*time.Millisecond)
+		assert.Equal(t, queries, arrived()-first)
+		closeAll(r)
+	})
+}
