Expect at an upstream what other VMs probably have there

Seen: 16 VMs lost 4% of long requests at busy upstreams that one VM serves nearly whole; requests waited at some upstreams while others had free slots.

Cause: a VM counted the requests of others only by a report of at most 150 ms. With requests of a second and 16 VMs, nearly all reports are older, and every upstream to which a VM has sent nothing itself looked free. The report of a refusal was not used at all.

Change: own requests count as they are, those of others by the last report, which loses its weight within the time of a request, and for the rest by the average of the service (EstimateBacklog). The expected wait takes the uncertainty into account. Services without reports are chosen as before.

TestLoadOfAnotherVM looks at the requests of others, all that is kept of a report now.

--- a/cmd/driftsoak/main.go
+++ b/cmd/driftsoak/main.go
@@ -38,7 +38,7 @@
 	Program string `default:"target/almonddrift" help:"The product's executable." type:"existingfile"`
 	Dir     string `default:"target/soak" help:"Folder of the records and logs, a folder in it for each seed." type:"path"`
 	Config  string `help:"JSON file with fields that replace those of the built-in run." type:"existingfile"`
-	Base    string `default:"sheet" enum:"sheet,planned" help:"The built-in run: the load of a sheet, or short and hard stops of few VMs."`
+	Base    string `default:"sheet" enum:"sheet,planned,placing" help:"The built-in run: the load of a sheet, short and hard stops of few VMs, or many VMs at busy upstreams."`
 	Vary    bool   `help:"Draw further figures of each run from its seed."`
 	VMs     int    `name:"vms" help:"Number of VM processes, 0 for that of the configuration."`
 	Seed    uint64 `default:"1" help:"The first seed."`
@@ -86,8 +86,11 @@
 // Run plays the seeds, at most Jobs at a time.
 func (c runCommand) Run(ctx context.Context) error {
 	base := driftsoak.Sheet()
-	if c.Base == "planned" {
+	switch c.Base {
+	case "planned":
 		base = driftsoak.Planned()
+	case "placing":
+		base = driftsoak.Placing()
 	}
 	config, err := driftsoak.ReadConfig(c.Config, base)
 	if err != nil {
--- a/internal/driftrelay/fleet.go
+++ b/internal/driftrelay/fleet.go
@@ -319,6 +319,7 @@
 	if !known && service != forwardService {
 		return best, false
 	}
+	w.averageLoad = r.averageLoads[service].requests
 	for _, e := range r.upstreamsOf(service) {
 		out := r.outSince[e.Domain]
 		if slices.Contains(tried, e) || !e.acceptsRequests(now, out, r.graces) {
--- a/internal/driftrelay/forward_test.go
+++ b/internal/driftrelay/forward_test.go
@@ -37,10 +37,10 @@
 // VM that passed its answer on.
 func TestLoadOfAnotherVM(t *testing.T) {
 	r := New(VM{Name: "vm"}, testHeaders)
-	for service, running := range map[string]int{forwardService: 0, "shard-0": 9} {
+	for service, others := range map[string]float64{forwardService: 0, "shard-0": 9 + 4} {
 		e := newUpstreamState(Upstream{ID: "u", Service: service}, time.Now())
-		r.recordLoad(e, "9,4,2", time.Now())
-		assert.Equal(t, running, e.load.Running, service)
+		r.recordLoad(e, "9,4,2", false, time.Now())
+		assert.InDelta(t, others, e.othersLoad, 0, service)
 	}
 }
 
--- a/internal/driftrelay/place.go
+++ b/internal/driftrelay/place.go
@@ -1,6 +1,9 @@
 package driftrelay
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Candidate describes an upstream that a request may be sent to.
 type Candidate struct {
@@ -10,8 +13,9 @@
 	// Slowdown is the factor by which this upstream takes longer than that.
 	Slowdown float64
 	Slots    int
-	// Backlog is the number of requests that the upstream is known to have.
-	Backlog int
+	// Backlog is how many requests the upstream is expected to have, and Deviation the
+	// standard deviation of that number.
+	Backlog, Deviation float64
 	// Stalled is how much longer than expected the oldest request in flight has
 	// been waiting.
 	Stalled time.Duration
@@ -57,9 +61,8 @@
 func EstimateCost(f Candidate) time.Duration {
 	work := time.Duration(float64(f.TypicalTime) * f.Slowdown)
 	cost := work
-	if waiting := f.Backlog + 1 - max(1, f.Slots); waiting > 0 {
-		cost += work * time.Duration(waiting) / time.Duration(max(1, f.Slots))
-	}
+	slots := float64(max(1, f.Slots))
+	cost += time.Duration(expectedExcess(f.Backlog+1-slots, f.Deviation) / slots * float64(work))
 	cost += max(f.Stalled, f.Suspected)
 	failure := failureCost
 	if f.LastAttempt {
@@ -78,6 +81,35 @@
 	return cost
 }
 
+// expectedExcess returns how far a number exceeds 0 on average, by its mean and standard
+// deviation.
+func expectedExcess(mean, deviation float64) float64 {
+	if deviation <= 0 {
+		return max(0, mean)
+	}
+	x := mean / deviation
+	density := math.Exp(-x*x/2) / math.Sqrt(2*math.Pi)
+	return mean*math.Erfc(-x/math.Sqrt2)/2 + deviation*density
+}
+
+// minReportSpan is the shortest time in which a reported load loses its weight.
+const minReportSpan = 150 * time.Millisecond
+
+// EstimateBacklog returns how many requests an upstream is expected to have, and the
+// standard deviation of that number. It handles many VMs that each send few requests to
+// the same upstreams, so that the latest report of one is old: what other VMs had there
+// has ended after about the time that a request takes, and what they have sent since is
+// that of an average upstream. Without it, each VM takes all upstreams for free that it
+// has sent nothing to itself, and some queue while others are idle.
+//
+// InFlight is how many requests of this VM there are. Others is how many of other VMs
+// there were by the latest report, and age the time since. Average is that of others at
+// the upstreams of the service, 0 if none reports.
+func EstimateBacklog(inFlight int, others float64, age, typicalTime time.Duration, average float64) (backlog, deviation float64) {
+	weight := decay(age, max(typicalTime, minReportSpan))
+	return float64(inFlight) + weight*others + (1-weight)*average, math.Sqrt((1 - weight) * average)
+}
+
 // HedgeDelay returns how long to wait for the first attempt before a hedge is
 // sent. A quarter of the objective leaves time for the hedge and its network
 // delay; classes much faster than their objective are hedged earlier, and no
--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -66,6 +66,8 @@
 	peers        []*upstreamState
 	budgets      map[string]*Budget
 	typicalTimes map[string]time.Duration
+	// averageLoads is by service.
+	averageLoads map[string]averageLoad
 	// recentTimes holds how long queries took of late, by the keys of typicalTimes.
 	recentTimes map[string]*recentTimes
 	running     int
@@ -143,7 +145,7 @@
 		upstreams: make(map[string]*upstreamState), falseClaims: make(map[string]falseClaim), services: make(map[string][]*upstreamState),
 		notices:  make(map[string]*notice),
 		outSince: make(map[string]time.Time), budgets: make(map[string]*Budget),
-		typicalTimes: make(map[string]time.Duration), recentTimes: make(map[string]*recentTimes),
+		typicalTimes: make(map[string]time.Duration), averageLoads: make(map[string]averageLoad), recentTimes: make(map[string]*recentTimes),
 		graces: publishedGraces, stopping: make(chan struct{}), sendRate: rateMeter{since: time.Now()},
 	}
 	for _, opt := range opts {
--- a/internal/driftrelay/send.go
+++ b/internal/driftrelay/send.go
@@ -122,7 +122,7 @@
 		e.proveConns(f.conn, f.started)
 		failed := result.Reply.Status >= minFailureStatus
 		e.recordOutcome(now, failed, false)
-		r.recordLoad(e, header.Get(r.headers.Load), now)
+		r.recordLoad(e, header.Get(r.headers.Load), true, now)
 		if !failed {
 			r.recordServiceTime(f, q, now)
 			r.recordNoRateLimit(f, header, now)
@@ -175,19 +175,46 @@
 		e.markReachable()
 		e.proveConns(f.conn, f.started)
 		e.recordOutcome(now, false, true)
+		r.recordLoad(e, result.Header.Get(r.headers.Load), false, now)
 	case !errors.Is(result.Err, driftexchange.ErrAborted) && !errors.Is(result.Err, errWithdrawn):
 		e.markUnreachable(now)
 	}
 }
 
-func (r *Relay) recordLoad(e *upstreamState, text string, now time.Time) {
+// averageLoadReports is how many reports make the average load of a service: a new one
+// has the weight of one among that many, or of all so far.
+const averageLoadReports = 20
+
+// averageLoad is how many requests of other VMs an upstream of a service has on average,
+// by the latest reports.
+type averageLoad struct {
+	requests float64
+	reports  int
+}
+
+func (a averageLoad) add(requests float64) averageLoad {
+	a.reports = min(a.reports+1, averageLoadReports)
+	a.requests += (requests - a.requests) / float64(a.reports)
+	return a
+}
+
+// recordLoad records the load that an upstream reports in the reply to an attempt, whose
+// request it counts if it has run it.
+func (r *Relay) recordLoad(e *upstreamState, text string, ran bool, now time.Time) {
 	// An answer of another VM has the headers of the upstream that it asked.
 	if e.Service == forwardService {
 		return
 	}
-	if load, ok := driftexchange.ParseLoad(text); ok {
-		e.load, e.loadAt = load, now
+	load, ok := driftexchange.ParseLoad(text)
+	if !ok {
+		return
+	}
+	own := len(e.inFlight)
+	if ran {
+		own++
 	}
+	e.othersLoad, e.loadAt = float64(max(0, load.Running+load.Waiting-own)), now
+	r.averageLoads[e.Service] = r.averageLoads[e.Service].add(e.othersLoad)
 }
 
 // recordServiceTime records how long a request took, for the upstream and for
--- a/internal/driftrelay/simulation_test.go
+++ b/internal/driftrelay/simulation_test.go
@@ -72,6 +72,9 @@
 	maxConns     int
 	failedWrites int
 	probes       int
+	// reportsLoad makes its replies name its load; waiting requests have no slot yet.
+	reportsLoad bool
+	waiting     int
 }
 
 // receivedRequest is a request that reached an upstream.
@@ -159,10 +162,22 @@
 // relayInFleet returns a relay in the first domain, in a fleet of VMs of which
 // the first few are entry VMs.
 func (w *simulation) relayInFleet(vms, entries int, opts ...Option) *Relay {
-	r := New(VM{Name: "vm-0", Domain: "domain-0"}, testHeaders, append([]Option{WithDialer(w.dial)}, opts...)...)
+	return w.relayOf(0, vms, entries, opts...)
+}
+
+// relayOf returns the relay of one VM of such a fleet.
+func (w *simulation) relayOf(self, vms, entries int, opts ...Option) *Relay {
+	name := func(i int) VM {
+		return VM{Name: fmt.Sprintf("vm-%d", i), Domain: fmt.Sprintf("domain-%d", i%testDomains)}
+	}
+	r := New(name(self), testHeaders, append([]Option{WithDialer(w.dial)}, opts...)...)
 	var others []VM
-	for i := 1; i < vms; i++ {
-		vm := VM{Name: fmt.Sprintf("vm-%d", i), Domain: fmt.Sprintf("domain-%d", i%testDomains), Entry: i < entries}
+	for i := range vms {
+		if i == self {
+			continue
+		}
+		vm := name(i)
+		vm.Entry = i < entries
 		if vm.Entry {
 			vm.Address = fmt.Sprintf("10.9.0.%d:7741", i)
 		}
@@ -264,8 +279,10 @@
 	if refused {
 		return writeReply(conn, "503 Service Unavailable", testHeaders.NotRun+": 1\r\n"+s.leavingHeader(caller), id, "")
 	}
+	s.countWaiting(1)
 	s.slots <- struct{}{}
 	defer func() { <-s.slots }()
+	s.countWaiting(-1)
 	s.mu.Lock()
 	s.runs[id]++
 	s.mu.Unlock()
@@ -277,7 +294,7 @@
 	if s.failsWith > 0 {
 		status = fmt.Sprintf("%d Failed", s.failsWith)
 	}
-	ok := writeReply(conn, status, testHeaders.Signature+": "+s.name+"."+id+"\r\n"+s.limitHeader()+s.leavingHeader(caller), id, strings.Repeat("r", s.bodySize))
+	ok := writeReply(conn, status, testHeaders.Signature+": "+s.name+"."+id+"\r\n"+s.limitHeader()+s.loadHeader()+s.leavingHeader(caller), id, strings.Repeat("r", s.bodySize))
 	if !ok {
 		s.mu.Lock()
 		s.failedWrites++
@@ -336,6 +353,23 @@
 	return fmt.Sprintf("%s: %.1f\r\n", testHeaders.RateLimit, s.rateLimit)
 }
 
+// countWaiting counts requests that wait for a slot.
+func (s *fakeUpstream) countWaiting(change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting += change
+}
+
+// loadHeader returns the header that names the load, if the upstream reports it.
+func (s *fakeUpstream) loadHeader() string {
+	if !s.reportsLoad {
+		return ""
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("%s: %d,%d,%d\r\n", testHeaders.Load, len(s.slots), s.waiting, cap(s.slots))
+}
+
 // retryAfterHeader returns the header that turns the caller away, if it is. The caller
 // holds the lock.
 func (s *fakeUpstream) retryAfterHeader(caller string) string {
--- a/internal/driftrelay/upstream.go
+++ b/internal/driftrelay/upstream.go
@@ -41,8 +41,6 @@
 	slowdownDecay = 3 * time.Second
 	// failureDecay is the time constant with which failures and refusals decay.
 	failureDecay = 4 * time.Second
-	// maxLoadAge is how long a load report is used.
-	maxLoadAge = 150 * time.Millisecond
 	// maxSlowdown limits the slowdown of a single observation.
 	maxSlowdown = 30
 	// averageGain is the weight of a new observation.
@@ -68,11 +66,12 @@
 	established map[*driftexchange.Conn]*connProof
 	inFlight    []*attempt
 
-	slowdown     float64
-	slowdownAt   time.Time
-	failureRate  movingAverage
-	refusalRate  movingAverage
-	load         driftexchange.Load
+	slowdown    float64
+	slowdownAt  time.Time
+	failureRate movingAverage
+	refusalRate movingAverage
+	// othersLoad is how many requests of other VMs the upstream had at loadAt.
+	othersLoad   float64
 	loadAt       time.Time
 	suspectUntil time.Time
 	downUntil    time.Time
@@ -157,22 +156,23 @@
 	latencyObjective time.Duration
 	// lastAttempt is set if no other upstream may be tried after this one.
 	lastAttempt bool
+	// averageLoad is how many requests of other VMs an upstream of the service has on
+	// average.
+	averageLoad float64
 }
 
 // candidate describes the upstream as a candidate for a request.
 func (e *upstreamState) candidate(now time.Time, w requirements, domain string, out bool) Candidate {
 	f := Candidate{
-		TypicalTime: w.typicalTime, Slowdown: e.currentSlowdown(now), Slots: e.Slots, Backlog: len(e.inFlight),
+		TypicalTime: w.typicalTime, Slowdown: e.currentSlowdown(now), Slots: e.Slots,
 		Suspected: max(0, e.suspectUntil.Sub(now)), FailureRate: e.failureRate.at(now), RefusalRate: e.refusalRate.at(now), LatencyObjective: w.latencyObjective, LastAttempt: w.lastAttempt,
 		NeedsDial: len(e.idleConns) == 0, CrossDomain: e.Domain != domain,
 		Leaving: !e.leavingAt.IsZero() || !e.removedAt.IsZero() || out,
 	}
-	if now.Sub(e.loadAt) < maxLoadAge {
-		f.Backlog = max(f.Backlog, e.load.Running+e.load.Waiting)
-	}
 	for _, a := range e.inFlight {
 		f.Stalled = max(f.Stalled, now.Sub(a.started)-2*a.expected)
 	}
+	f.Backlog, f.Deviation = EstimateBacklog(len(e.inFlight), e.othersLoad, now.Sub(e.loadAt), w.typicalTime, w.averageLoad)
 	return f
 }
 
