--- a/internal/driftrelay/relay.go
+++ b/internal/driftrelay/relay.go
@@ -66,7 +66,7 @@
 	peers        []*upstreamState
 	budgets      map[string]*Budget
 	typicalTimes map[string]time.Duration
-	// averageLoads is by service.
+	// averageLoads holds the average load of upstreams by service.
 	averageLoads map[string]averageLoad
 	// recentTimes holds how long queries took of late, by the keys of typicalTimes.
 	recentTimes map[string]*recentTimes
--- a/internal/driftrelay/stop.go
+++ b/internal/driftrelay/stop.go
@@ -139,7 +139,7 @@
 	defer s.relay.mu.Unlock()
 	s.answerBy = s.relay.answerBy(s.query)
 	fits := s.relay.fitsBeforeStop(s.query.Route, s.query.Deadline, now)
-	if !fits {
+	if !fits && len(s.requests) > 0 {
 		s.requests[0].notes = append(s.requests[0].notes, s.stopDetail(now))
 	}
 	return fits
