Add case 7 of the review: clients that don't read shut out all others

Shown: 2,340 connections on which requests were sent and no answer is read fill a machine's share of connections for good. Ordinary clients get no answer while the machine says that it is ready.

--- /dev/null
+++ b/review/standin-2/case7.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"review2/bed"
+)
+
+func init() { cases[7] = unreadAnswers }
+
+const (
+	// crowdConns is a little more than the connections that a machine of 284 MB and
+	// 4,100 descriptors keeps for clients.
+	crowdConns = 2500
+	// crowdWorkers open the connections of the crowd at one machine.
+	crowdWorkers = 48
+	// crowdSegment is the segment size that the crowd asks for. It keeps what the system
+	// buffers for a connection as small as over a link, where it is 1,460; that of a
+	// loopback address is 65,483.
+	crowdSegment = 1460
+	// crowdReceive is what the crowd lets the system hold of the answers.
+	crowdReceive = 4096
+	// crowdTime is after how long the crowd sends nothing more and opens no connection.
+	crowdTime = 25 * time.Second
+)
+
+// unreadAnswers plays clients that send requests and don't read the answers.
+func unreadAnswers(b *bed.Bed, trouble bool) (verdict, error) {
+	if err := deploy(b, 2, 6, bed.BackendSpec{Service: service, Slots: 4, Work: 20 * time.Millisecond, Body: bodyOf(1500)}); err != nil {
+		return verdict{}, err
+	}
+	var held, opened, closed atomic.Int64
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	quiet := time.Now().Add(crowdTime)
+	var workers sync.WaitGroup
+	if trouble {
+		for _, m := range b.Machines {
+			for range crowdWorkers {
+				workers.Add(1)
+				go func() {
+					defer workers.Done()
+					crowd(ctx, quiet, m.Front(), crowdConns/crowdWorkers+1, &held, &opened, &closed)
+				}()
+			}
+		}
+	}
+	// The ordinary clients ask from the beginning on. They are judged in the last spans.
+	watch := newWatch(b)
+	const spans, span = 10, 5 * time.Second
+	silent, longest := 0, 0
+	for i := range spans {
+		time.Sleep(span)
+		asked, served := watch.take()
+		ready := 0
+		for _, m := range b.Machines {
+			if m.Ready() {
+				ready++
+			}
+		}
+		b.Record.Say("%2d to %2d s: ordinary clients asked %d, served %d; crowd holds %d connections, opened %d, %d were closed; %d of %d machines say they are ready",
+			i*5, i*5+5, asked, served, held.Load(), opened.Load(), closed.Load(), ready, len(b.Machines))
+		switch {
+		case asked > 0 && served == 0 && ready == len(b.Machines):
+			silent++
+		default:
+			silent = 0
+		}
+		longest = max(longest, silent)
+	}
+	cancel()
+	watch.end()
+	workers.Wait()
+	text := fmt.Sprintf("longest time without one answer to ordinary clients while all machines said they were ready: %d s", longest*5)
+	for _, m := range b.Machines {
+		peak, killed := m.Memory()
+		text += fmt.Sprintf("; %s had %d MB at most, %d ends", m.Name, peak, killed)
+	}
+	return verdict{broken: longest >= 2, reason: text}, nil
+}
+
+// crowd keeps connections open on which requests were sent and no answer is read. From
+// quiet on it only holds them.
+func crowd(ctx context.Context, quiet time.Time, address string, count int, held, opened, closed *atomic.Int64) {
+	dialer := net.Dialer{Timeout: 2 * time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, crowdReceive)
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, crowdSegment)
+		})
+	}}
+	conns := make([]net.Conn, count)
+	defer func() {
+		for _, c := range conns {
+			if c != nil {
+				_ = c.Close()
+			}
+		}
+	}()
+	requests := bytes.Repeat([]byte("GET /none/ HTTP/1.1\r\nHost: "+host+"\r\n\r\n"), 64)
+	for ctx.Err() == nil && time.Now().Before(quiet) {
+		for i := range conns {
+			if ctx.Err() != nil || time.Now().After(quiet) {
+				break
+			}
+			if conns[i] == nil {
+				c, err := dialer.Dial("tcp4", address)
+				if err != nil {
+					time.Sleep(20 * time.Millisecond)
+					continue
+				}
+				conns[i] = c
+				opened.Add(1)
+				held.Add(1)
+			}
+			// More requests, until none is read for a while.
+			for err := error(nil); err == nil; {
+				_ = conns[i].SetWriteDeadline(time.Now().Add(30 * time.Millisecond))
+				if _, err = conns[i].Write(requests); err == nil {
+					continue
+				}
+				if timeout, ok := err.(net.Error); !ok || !timeout.Timeout() {
+					_ = conns[i].Close()
+					conns[i] = nil
+					held.Add(-1)
+					closed.Add(1)
+				}
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	<-ctx.Done()
+}
+
+// watch counts the requests of ordinary clients, which ask the directories where to
+// connect and try another address, on a new connection, if they get no answer.
+type watch struct {
+	bed           *bed.Bed
+	group         sync.WaitGroup
+	stop          chan struct{}
+	asked, served atomic.Int64
+}
+
+func newWatch(b *bed.Bed) *watch {
+	w := &watch{bed: b, stop: make(chan struct{})}
+	var addresses []string
+	for _, m := range b.Machines {
+		addresses = append(addresses, m.Front())
+	}
+	for i := range 8 {
+		w.group.Add(1)
+		go w.run(i, addresses)
+	}
+	return w
+}
+
+func (w *watch) run(number int, addresses []string) {
+	defer w.group.Done()
+	client := &bed.Client{Address: addresses[number%len(addresses)]}
+	defer client.Close()
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+		w.asked.Add(1)
+		for attempt := range 3 {
+			o := client.Do(bed.Request{Method: http.MethodGet, Host: host, Path: lookupPath + "2f", Wait: 4 * time.Second})
+			w.bed.Record.Log("client %d at %s, attempt %d: %s, kept connection=%t: %s, ran %d times", number, client.Address, attempt+1, o.ID, o.Kept, o, w.bed.Runs(o.ID))
+			if o.Status == http.StatusOK {
+				w.served.Add(1)
+				break
+			}
+			client.Close()
+			number++
+			client.Address = addresses[number%len(addresses)]
+		}
+	}
+}
+
+// take returns the counts since the last call.
+func (w *watch) take() (asked, served int64) { return w.asked.Swap(0), w.served.Swap(0) }
+
+func (w *watch) end() {
+	close(w.stop)
+	w.group.Wait()
+}
