--- a/review/standin-2/bed/backend.go
+++ b/review/standin-2/bed/backend.go
@@ -1,11 +1,14 @@
 package bed
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,22 +19,32 @@
 	bed   *Bed
 	slots chan struct{}
 	born  time.Time
-	// Work is how long a request takes, Body the body of the answers.
-	work time.Duration
-	body func(r *http.Request) []byte
+	// work is how long a request takes, wait how long one waits for a slot before it is
+	// refused, and body returns the body of its answer.
+	work, wait time.Duration
+	body       func(r *http.Request) []byte
+	// strays is the share of the answers that are sent a second time, without their id.
+	strays atomic.Pointer[strays]
 
 	mu  sync.Mutex
 	seq int64
-	// ran counts the runs by the id of the request, and ranAt is when the latest began.
-	ran   map[string]int
+	// total counts the runs.
 	total int
 }
 
+// strays says which answers are sent a second time.
+type strays struct {
+	share float64
+	delay time.Duration
+}
+
 // BackendSpec is what differs between backends.
 type BackendSpec struct {
 	Service string
 	Slots   int
 	Work    time.Duration
+	// Wait is how long a request waits for a slot before it is refused.
+	Wait time.Duration
 	// Body returns the body of the answer to a request.
 	Body func(r *http.Request) []byte
 }
@@ -40,29 +53,30 @@
 const beatPeriod = 1200 * time.Millisecond
 
 // StartBackend starts a backend and registers it in the store.
-func (b *Bed) StartBackend(spec BackendSpec, zone string) (*Backend, error) {
+func (b *Bed) StartBackend(spec BackendSpec, zone string) error {
 	b.backendCount++
 	address := fmt.Sprintf("%s.%d:8080", b.network, 100+b.backendCount)
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	e := &Backend{
 		ID: fmt.Sprintf("i-%04x%04x", b.backendCount, time.Now().UnixMilli()&0xffff), Service: spec.Service, Address: address, Zone: zone,
-		bed: b, slots: make(chan struct{}, spec.Slots), born: time.Now(), work: spec.Work, body: spec.Body, ran: make(map[string]int),
+		bed: b, slots: make(chan struct{}, spec.Slots), born: time.Now(), work: spec.Work, wait: spec.Wait, body: spec.Body,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", e.serveHealth)
 	mux.HandleFunc("/", e.serve)
 	server := &http.Server{Handler: mux, IdleTimeout: 30 * time.Second}
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(&strayListener{Listener: listener, backend: e}) }()
 	e.report()
 	go func() {
 		for range time.Tick(beatPeriod) {
 			e.report()
 		}
 	}()
-	return e, nil
+	b.Backends = append(b.Backends, e)
+	return nil
 }
 
 // report writes the status report.
@@ -104,13 +118,12 @@
 	}
 	select {
 	case e.slots <- struct{}{}:
-	case <-time.After(100 * time.Millisecond):
+	case <-time.After(e.wait):
 		e.refuse(w, http.StatusServiceUnavailable)
 		return
 	}
 	defer func() { <-e.slots }()
 	e.mu.Lock()
-	e.ran[id]++
 	e.total++
 	e.mu.Unlock()
 	e.bed.noteRun(id, e, r, len(body))
@@ -132,3 +145,63 @@
 	defer e.mu.Unlock()
 	return e.total
 }
+
+// SetStrays makes the backend send a share of its answers a second time, as bytes that
+// belong to no request: a copy without the header X-Request-Id, the delay after the answer.
+// A share of 0 ends it.
+func (e *Backend) SetStrays(share float64, delay time.Duration) {
+	e.strays.Store(&strays{share: share, delay: delay})
+}
+
+type strayListener struct {
+	net.Listener
+	backend *Backend
+}
+
+// Accept implements net.Listener.
+func (l *strayListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &strayConn{Conn: c, backend: l.backend}, nil
+}
+
+// strayConn is a connection on which some answers are sent twice. Answers are short, so
+// that the server writes each at once.
+type strayConn struct {
+	net.Conn
+	backend *Backend
+	mu      sync.Mutex
+}
+
+// Write implements net.Conn.
+func (c *strayConn) Write(answer []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, err := c.Conn.Write(answer)
+	s := c.backend.strays.Load()
+	if err == nil && s != nil && rand.Float64() < s.share {
+		if stray, ok := withoutID(answer); ok {
+			time.AfterFunc(s.delay, func() {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				if _, err := c.Conn.Write(stray); err == nil {
+					c.backend.bed.Record.Log("stray: %s sent %d more bytes after a complete answer: %.60q", c.backend.ID, len(stray), stray)
+				}
+			})
+		}
+	}
+	return n, err
+}
+
+// withoutID returns a copy of an answer without its header X-Request-Id.
+func withoutID(answer []byte) (stray []byte, ok bool) {
+	const name = "X-Request-Id: "
+	start := bytes.Index(answer, []byte(name))
+	if !bytes.HasPrefix(answer, []byte("HTTP/1.1 ")) || start < 0 {
+		return nil, false
+	}
+	end := start + bytes.IndexByte(answer[start:], '\n') + 1
+	return append(bytes.Clone(answer[:start]), answer[end:]...), true
+}
--- a/review/standin-2/bed/bed.go
+++ b/review/standin-2/bed/bed.go
@@ -38,6 +38,7 @@
 	Record   *Record
 	Store    *Store
 	Machines []*Machine
+	Backends []*Backend
 
 	// network holds the first three numbers of all addresses.
 	network      string
--- a/review/standin-2/case6.go
+++ b/review/standin-2/case6.go
@@ -42,7 +42,7 @@
 	zones := []string{"ondangwa", "oshakati", "ongwediva"}
 	configure(b)
 	for i := range backends {
-		if _, err := b.StartBackend(spec, zones[i%len(zones)]); err != nil {
+		if err := b.StartBackend(spec, zones[i%len(zones)]); err != nil {
 			return err
 		}
 	}
@@ -123,7 +123,7 @@
 // endlessHead plays clients that begin a request as HTTP/2 does and then send a head
 // without end. Three times, one connection to each of two machines.
 func endlessHead(b *bed.Bed, trouble bool) (verdict, error) {
-	if err := deploy(b, 3, 6, bed.BackendSpec{Service: service, Slots: 4, Work: 20 * time.Millisecond, Body: bodyOf(1500)}); err != nil {
+	if err := deploy(b, 3, 6, bed.BackendSpec{Service: service, Slots: 4, Work: 20 * time.Millisecond, Wait: 100 * time.Millisecond, Body: bodyOf(1500)}); err != nil {
 		return verdict{}, err
 	}
 	ordinary := startCallers(b, 4, 20*time.Millisecond)
--- a/review/standin-2/case7.go
+++ b/review/standin-2/case7.go
@@ -34,7 +34,7 @@
 
 // unreadAnswers plays clients that send requests and don't read the answers.
 func unreadAnswers(b *bed.Bed, trouble bool) (verdict, error) {
-	if err := deploy(b, 2, 6, bed.BackendSpec{Service: service, Slots: 4, Work: 20 * time.Millisecond, Body: bodyOf(1500)}); err != nil {
+	if err := deploy(b, 2, 6, bed.BackendSpec{Service: service, Slots: 4, Work: 20 * time.Millisecond, Wait: 100 * time.Millisecond, Body: bodyOf(1500)}); err != nil {
 		return verdict{}, err
 	}
 	var held, opened, closed atomic.Int64
