--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 root=$(cd "$(dirname "$0")/.." && pwd)
 mkdir -p "$root/target/review-2"
 cd "$root/review/standin-2"
-GOWORK=off go build -o "$root/target/review-2/standin" .
+GOWORK=off GOPROXY=off GOTOOLCHAIN=local go build -o "$root/target/review-2/standin" .
