--- a/review/standin-2/case7.go
+++ b/review/standin-2/case7.go
@@ -28,11 +28,10 @@
 	crowdSegment = 1460
 	// crowdReceive is what the crowd lets the system hold of the answers.
 	crowdReceive = 4096
-	// crowdTime is for how long the crowd opens connections and sends requests at most. It
-	// ends with the first span in which no ordinary client is served.
+	// crowdTime is for how long the crowd opens connections and sends requests at most.
 	crowdTime = 60 * time.Second
-	// judged is how long the ordinary clients are judged after that. It is longer than an
-	// idle connection and a head may take together, 15 s and 3 s.
+	// judged is how long the traffic of the ordinary clients lasts after that. It is longer
+	// than an idle connection and a head may take together, 15 s and 3 s.
 	judged = 25 * time.Second
 	span   = 5 * time.Second
 )
@@ -58,44 +57,54 @@
 			}
 		}
 	}
-	// The ordinary clients ask from the beginning on, and are judged once the crowd is quiet.
+	if trouble {
+		awaitCrowd(b, &held, &opened, &closed)
+	}
+	close(quiet)
+	// All traffic of ordinary clients comes after that.
 	watch := newWatch(b)
-	silent, longest := 0, 0
-	for i, left := 0, int(judged/span); left > 0; i++ {
+	var asked, served int64
+	alwaysReady := true
+	for i := range int(judged / span) {
 		time.Sleep(span)
-		asked, served := watch.take()
+		a, s := watch.take()
+		asked, served = asked+a, served+s
 		ready := 0
 		for _, m := range b.Machines {
 			if m.Ready() {
 				ready++
 			}
 		}
-		b.Record.Say("%2d to %2d s: ordinary clients asked %d, served %d; crowd holds %d connections, opened %d, %d were closed; %d of %d machines say they are ready",
-			i*5, i*5+5, asked, served, held.Load(), opened.Load(), closed.Load(), ready, len(b.Machines))
-		select {
-		case <-quiet:
-			left--
-			silent++
-			if asked == 0 || served > 0 || ready < len(b.Machines) {
-				silent = 0
-			}
-			longest = max(longest, silent)
-		default:
-			if !trouble || served == 0 || time.Duration(i+1)*span >= crowdTime {
-				b.Record.Say("from now on the crowd opens no connection and sends nothing")
-				close(quiet)
-			}
-		}
+		alwaysReady = alwaysReady && ready == len(b.Machines)
+		b.Record.Say("%2d to %2d s of traffic: ordinary clients asked %d, served %d; the quiet crowd holds %d connections; %d of %d machines say they are ready",
+			i*5, i*5+5, a, s, held.Load(), ready, len(b.Machines))
 	}
 	cancel()
 	watch.end()
 	workers.Wait()
-	text := fmt.Sprintf("longest time without one answer to ordinary clients, while the crowd was quiet and all machines said that they were ready: %d s", int((time.Duration(longest) * span).Seconds()))
+	text := fmt.Sprintf("in %d s of traffic, while the crowd was quiet, ordinary clients asked %d times and were served %d times; all machines said all the while that they were ready: %t",
+		int(judged.Seconds()), asked, served, alwaysReady)
 	for _, m := range b.Machines {
 		peak, killed := m.Memory()
 		text += fmt.Sprintf("; %s had %d MB at most, %d ends", m.Name, peak, killed)
 	}
-	return verdict{broken: longest >= 2, reason: text}, nil
+	return verdict{broken: asked > 0 && served == 0 && alwaysReady, reason: text}, nil
+}
+
+// awaitCrowd waits until the crowd holds as many connections as the machines keep: until
+// more are closed while their number has not changed for two spans.
+func awaitCrowd(b *bed.Bed, held, opened, closed *atomic.Int64) {
+	steady := 0
+	for start := time.Now(); steady < 2 && time.Since(start) < crowdTime; {
+		heldBefore, closedBefore := held.Load(), closed.Load()
+		time.Sleep(span)
+		steady++
+		if change := held.Load() - heldBefore; change < -20 || change > 20 || closed.Load()-closedBefore < 100 {
+			steady = 0
+		}
+		b.Record.Say("%2.0f s: the crowd holds %d connections, opened %d, %d were closed", time.Since(start).Seconds(), held.Load(), opened.Load(), closed.Load())
+	}
+	b.Record.Say("from now on the crowd opens no connection and sends nothing")
 }
 
 // crowd keeps connections open on which requests were sent and no answer is read. From
